--- /dev/null
+++ b/Makefile
@@ -0,0 +1,29 @@
+# Targets: build, test, demo, generate, fmt. `make test` is what CI runs.
+GO ?= go
+TOOL = $(GO) tool -modfile=tools/go.mod
+BIN = bin
+
+.PHONY: build test check generate generated-current fmt demo
+
+build:
+	$(GO) build -o $(BIN)/ ./cmd/...
+
+test: check
+	$(GO) test -race -timeout 20m ./...
+
+check:
+	@unformatted=$$(gofmt -l cmd internal test 2>/dev/null); if [ -n "$$unformatted" ]; then echo "gofmt needed: $$unformatted"; exit 1; fi
+	$(GO) vet ./...
+	$(TOOL) staticcheck ./...
+	$(MAKE) --no-print-directory generated-current
+
+generate:
+	$(TOOL) buf generate
+
+generated-current:
+	@before=$$(sha256sum internal/peerpb/peer.pb.go); $(MAKE) --no-print-directory generate; \
+	after=$$(sha256sum internal/peerpb/peer.pb.go); \
+	if [ "$$before" != "$$after" ]; then echo "internal/peerpb was stale: commit the output of make generate"; exit 1; fi
+
+fmt:
+	gofmt -w cmd internal test
--- /dev/null
+++ b/internal/engineapi/hash.go
@@ -0,0 +1,18 @@
+package engineapi
+
+import (
+	"github.com/cespare/xxhash/v2"
+)
+
+// PrefixHash identifies a list of messages, in order.
+func PrefixHash(messages []Message) uint64 {
+	digest := xxhash.New()
+	separator := []byte{0}
+	for _, m := range messages {
+		_, _ = digest.WriteString(m.Role)
+		_, _ = digest.Write(separator)
+		_, _ = digest.WriteString(m.Content)
+		_, _ = digest.Write(separator)
+	}
+	return digest.Sum64()
+}
--- /dev/null
+++ b/internal/refusal/refusal.go
@@ -0,0 +1,207 @@
+// Package refusal defines the typed errors that end a request without a whole
+// answer. Every refusal says what is known about execution and names the
+// remedy.
+package refusal
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/verbenatrail/verbenatrail/internal/peerpb"
+)
+
+// Outcome says what is known about the execution of a request.
+type Outcome string
+
+// The three outcomes that a caller can be told.
+const (
+	Done    Outcome = "done"
+	NotRun  Outcome = "not run"
+	Unknown Outcome = "unknown"
+)
+
+// Kind classifies a refusal; callers switch on it.
+type Kind string
+
+// Kinds of refusal.
+const (
+	BadRequest          Kind = "bad_request"
+	BodyTooLarge        Kind = "body_too_large"
+	HeadersTooLarge     Kind = "headers_too_large"
+	MethodNotAllowed    Kind = "method_not_allowed"
+	SlowRequest         Kind = "slow_request"
+	UnknownWorkspace    Kind = "unknown_workspace"
+	UnknownModel        Kind = "unknown_model"
+	UnknownService      Kind = "unknown_service"
+	NoMatchingUpstream  Kind = "no_matching_upstream"
+	NoLiveUpstream      Kind = "no_live_upstream"
+	NoConfiguration     Kind = "no_configuration"
+	Overloaded          Kind = "overloaded"
+	QueueTimeout        Kind = "queue_timeout"
+	RetriesExhausted    Kind = "retries_exhausted"
+	CrashContained      Kind = "crash_contained"
+	Leaving             Kind = "leaving"
+	TooManyHops         Kind = "too_many_hops"
+	StreamLost          Kind = "stream_lost"
+	UpstreamFailed      Kind = "upstream_failed"
+	ActionKeyMissing    Kind = "action_key_missing"
+	ActionKeyInvalid    Kind = "action_key_invalid"
+	ActionKeyExpired    Kind = "action_key_expired"
+	ActionKeyReused     Kind = "action_key_reused"
+	ActionUnconfirmed   Kind = "action_unconfirmed"
+	ClaimsUnavailable   Kind = "claims_unavailable"
+	OwnerUnreachable    Kind = "owner_unreachable"
+	DeadlineExceeded    Kind = "deadline_exceeded"
+	InternalError       Kind = "internal_error"
+	OwnerBusy           Kind = "over_bound"
+	ConfigurationBehind Kind = "configuration_behind"
+)
+
+// Refusal ends a request without a whole answer. It is an error.
+type Refusal struct {
+	Kind    Kind
+	Outcome Outcome
+	// Message says what happened and what to do next.
+	Message string
+	// RetryAfter is zero when a retry can't help.
+	RetryAfter time.Duration
+	// Upstream is the engine or service instance that gave no answer, if any.
+	Upstream string
+	// UpstreamCrashed is set when the upstream broke its connection while it
+	// ran the request.
+	UpstreamCrashed bool
+}
+
+// New returns a refusal of a request that was not run.
+func New(kind Kind, message string) *Refusal {
+	return &Refusal{Kind: kind, Outcome: NotRun, Message: message}
+}
+
+// NewUnknown returns a refusal of a request that may have run.
+func NewUnknown(kind Kind, message string) *Refusal {
+	return &Refusal{Kind: kind, Outcome: Unknown, Message: message}
+}
+
+// WithRetryAfter sets the time after which a retry can help, and returns r.
+func (r *Refusal) WithRetryAfter(d time.Duration) *Refusal {
+	r.RetryAfter = d
+	return r
+}
+
+// Error returns the kind, the outcome and the message.
+func (r *Refusal) Error() string {
+	return string(r.Kind) + " (" + string(r.Outcome) + "): " + r.Message
+}
+
+// HTTPStatus returns the status code that callers are sent.
+func (r *Refusal) HTTPStatus() int {
+	if status, ok := statusByKind[r.Kind]; ok {
+		return status
+	}
+	return http.StatusServiceUnavailable
+}
+
+var statusByKind = map[Kind]int{
+	BadRequest:         http.StatusBadRequest,
+	BodyTooLarge:       http.StatusRequestEntityTooLarge,
+	HeadersTooLarge:    http.StatusRequestHeaderFieldsTooLarge,
+	MethodNotAllowed:   http.StatusMethodNotAllowed,
+	SlowRequest:        http.StatusRequestTimeout,
+	UnknownWorkspace:   http.StatusForbidden,
+	UnknownModel:       http.StatusNotFound,
+	UnknownService:     http.StatusNotFound,
+	NoMatchingUpstream: http.StatusForbidden,
+	Overloaded:         http.StatusTooManyRequests,
+	OwnerBusy:          http.StatusTooManyRequests,
+	CrashContained:     http.StatusUnprocessableEntity,
+	StreamLost:         http.StatusGone,
+	UpstreamFailed:     http.StatusBadGateway,
+	ActionKeyMissing:   http.StatusBadRequest,
+	ActionKeyInvalid:   http.StatusBadRequest,
+	ActionKeyExpired:   http.StatusConflict,
+	ActionKeyReused:    http.StatusUnprocessableEntity,
+	ActionUnconfirmed:  http.StatusConflict,
+	DeadlineExceeded:   http.StatusGatewayTimeout,
+	InternalError:      http.StatusInternalServerError,
+}
+
+// Body is the JSON form of a refusal.
+type Body struct {
+	Error BodyError `json:"error"`
+}
+
+// BodyError is the content of Body.
+type BodyError struct {
+	Kind         Kind    `json:"kind"`
+	Outcome      Outcome `json:"outcome"`
+	Message      string  `json:"message"`
+	RetryAfterMS int64   `json:"retry_after_ms,omitempty"`
+	RequestID    string  `json:"request_id,omitempty"`
+}
+
+// JSON returns the machine-readable form of r.
+func (r *Refusal) JSON(requestID string) []byte {
+	data, err := json.Marshal(Body{Error: BodyError{
+		Kind: r.Kind, Outcome: r.Outcome, Message: r.Message,
+		RetryAfterMS: r.RetryAfter.Milliseconds(), RequestID: requestID,
+	}})
+	if err != nil {
+		return []byte(`{"error":{"kind":"internal_error","outcome":"unknown"}}`)
+	}
+	return data
+}
+
+// WriteHTTP sends r as the whole response.
+func (r *Refusal) WriteHTTP(w http.ResponseWriter, requestID string) {
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Verbenatrail-Outcome", string(r.Outcome))
+	if r.RetryAfter > 0 {
+		seconds := int64((r.RetryAfter + time.Second - 1) / time.Second)
+		w.Header().Set("Retry-After", strconv.FormatInt(seconds, 10))
+	}
+	w.WriteHeader(r.HTTPStatus())
+	_, _ = w.Write(r.JSON(requestID))
+}
+
+// ToProto returns the form that daemons exchange.
+func (r *Refusal) ToProto() *peerpb.Refusal {
+	return &peerpb.Refusal{
+		Kind: string(r.Kind), Outcome: outcomeToProto(r.Outcome), Message: r.Message,
+		RetryAfterMs: uint32(r.RetryAfter.Milliseconds()), Upstream: r.Upstream,
+		UpstreamCrashed: r.UpstreamCrashed,
+	}
+}
+
+// FromProto returns the refusal that a peer sent. An unspecified outcome reads
+// as Unknown.
+func FromProto(p *peerpb.Refusal) *Refusal {
+	return &Refusal{
+		Kind: Kind(p.GetKind()), Outcome: outcomeFromProto(p.GetOutcome()), Message: p.GetMessage(),
+		RetryAfter: time.Duration(p.GetRetryAfterMs()) * time.Millisecond, Upstream: p.GetUpstream(),
+		UpstreamCrashed: p.GetUpstreamCrashed(),
+	}
+}
+
+func outcomeToProto(o Outcome) peerpb.Outcome {
+	switch o {
+	case Done:
+		return peerpb.Outcome_OUTCOME_DONE
+	case NotRun:
+		return peerpb.Outcome_OUTCOME_NOT_RUN
+	default:
+		return peerpb.Outcome_OUTCOME_UNKNOWN
+	}
+}
+
+func outcomeFromProto(o peerpb.Outcome) Outcome {
+	switch o {
+	case peerpb.Outcome_OUTCOME_DONE:
+		return Done
+	case peerpb.Outcome_OUTCOME_NOT_RUN:
+		return NotRun
+	default:
+		return Unknown
+	}
+}
--- /dev/null
+++ b/internal/telemetry/telemetry.go
@@ -0,0 +1,90 @@
+// Package telemetry sets up logs, metrics and traces for a binary.
+package telemetry
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"os"
+
+	"github.com/pkg/errors"
+	"github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/exporters/stdout/stdouttrace"
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/sdk/resource"
+	sdktrace "go.opentelemetry.io/otel/sdk/trace"
+	semconv "go.opentelemetry.io/otel/semconv/v1.40.0"
+)
+
+// Settings are the part of a binary's settings about its own output.
+type Settings struct {
+	// LogFormat is "text" or "json".
+	LogFormat string `yaml:"log_format" validate:"oneof=text json"`
+	// LogLevel is a logrus level.
+	LogLevel string `yaml:"log_level" validate:"oneof=debug info warning error"`
+	// TraceFile receives spans as JSON lines; empty turns traces off.
+	TraceFile string `yaml:"trace_file"`
+	// TraceRatio is the share of requests that are traced, 0 to 1.
+	TraceRatio float64 `yaml:"trace_ratio" validate:"gte=0,lte=1"`
+}
+
+// DefaultSettings returns text logs at level info, and no traces.
+func DefaultSettings() Settings {
+	return Settings{LogFormat: "text", LogLevel: "info", TraceRatio: 1}
+}
+
+// NewLogger returns a logger that writes to standard error.
+func NewLogger(s Settings) (*logrus.Logger, error) {
+	level, err := logrus.ParseLevel(s.LogLevel)
+	if err != nil {
+		return nil, errors.Wrap(err, "log_level")
+	}
+	logger := logrus.New()
+	logger.SetLevel(level)
+	if s.LogFormat == "json" {
+		logger.SetFormatter(&logrus.JSONFormatter{})
+	}
+	return logger, nil
+}
+
+// StartTracing installs the global tracer and propagator. The returned
+// function flushes and closes it.
+func StartTracing(s Settings, service string) (func(context.Context) error, error) {
+	otel.SetTextMapPropagator(propagation.TraceContext{})
+	if s.TraceFile == "" {
+		return func(context.Context) error { return nil }, nil
+	}
+	file, err := os.OpenFile(s.TraceFile, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	if err != nil {
+		return nil, errors.Wrap(err, "trace_file can't be opened: check the path or leave it empty")
+	}
+	exporter, err := stdouttrace.New(stdouttrace.WithWriter(file))
+	if err != nil {
+		return nil, errors.Wrap(err, "trace exporter")
+	}
+	provider := sdktrace.NewTracerProvider(
+		sdktrace.WithBatcher(exporter),
+		sdktrace.WithSampler(sdktrace.ParentBased(sdktrace.TraceIDRatioBased(s.TraceRatio))),
+		sdktrace.WithResource(resource.NewSchemaless(semconv.ServiceName(service))),
+	)
+	otel.SetTracerProvider(provider)
+	return func(ctx context.Context) error { return closeTracing(ctx, provider, file) }, nil
+}
+
+func closeTracing(ctx context.Context, provider *sdktrace.TracerProvider, file io.Closer) error {
+	if err := provider.Shutdown(ctx); err != nil {
+		return err
+	}
+	return file.Close()
+}
+
+// MetricsHandler serves a registry as JSON.
+func MetricsHandler(registry metrics.Registry) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(registry.GetAll())
+	})
+}
