--- /dev/null
+++ b/internal/declare/change.go
@@ -0,0 +1,179 @@
+package declare
+
+import (
+	"encoding/json"
+	"reflect"
+	"slices"
+	"strings"
+
+	"github.com/pkg/errors"
+)
+
+// Change sets one object, or deletes it when no object is given.
+type Change struct {
+	Kind      Kind       `json:"kind"`
+	Name      string     `json:"name"`
+	Workspace *Workspace `json:"workspace,omitempty"`
+	Engine    *Engine    `json:"engine,omitempty"`
+	Service   *Service   `json:"service,omitempty"`
+	Selector  *Selector  `json:"selector,omitempty"`
+}
+
+// Deletes reports whether the change removes its object.
+func (c Change) Deletes() bool {
+	return c.Workspace == nil && c.Engine == nil && c.Service == nil && c.Selector == nil
+}
+
+// Object returns the path of the object, like "engine/balaju-1".
+func (c Change) Object() string { return objectPath(c.Kind, c.Name) }
+
+// Encode returns the canonical JSON form: objects in name order.
+func (d *Declarations) Encode() ([]byte, error) {
+	data, err := json.Marshal(d)
+	return data, errors.Wrap(err, "encode declarations")
+}
+
+// Decode reads the form that Encode writes.
+func Decode(data []byte) (*Declarations, error) {
+	var d Declarations
+	if err := json.Unmarshal(data, &d); err != nil {
+		return nil, errors.Wrap(err, "decode declarations")
+	}
+	d.sort()
+	return &d, nil
+}
+
+// named is an object that has a name.
+type named interface{ name() string }
+
+func (w Workspace) name() string { return w.Name }
+func (e Engine) name() string    { return e.Name }
+func (s Service) name() string   { return s.Name }
+func (s Selector) name() string  { return s.Name }
+
+func (d *Declarations) sort() {
+	sortByName(d.Workspaces)
+	sortByName(d.Engines)
+	sortByName(d.Services)
+	sortByName(d.Selectors)
+}
+
+func sortByName[T named](objects []T) {
+	slices.SortStableFunc(objects, func(a, b T) int { return strings.Compare(a.name(), b.name()) })
+}
+
+// Service returns a declared service by name.
+func (d *Declarations) Service(name string) (Service, bool) { return find(d.Services, name) }
+
+// Engine returns a declared engine by name.
+func (d *Declarations) Engine(name string) (Engine, bool) { return find(d.Engines, name) }
+
+func find[T named](objects []T, name string) (T, bool) {
+	index, ok := search(objects, name)
+	if !ok {
+		var none T
+		return none, false
+	}
+	return objects[index], true
+}
+
+func search[T named](objects []T, name string) (int, bool) {
+	return slices.BinarySearchFunc(objects, name, func(o T, n string) int { return strings.Compare(o.name(), n) })
+}
+
+// Changes returns the changes that set every object of d, in canonical order.
+func (d *Declarations) Changes() []Change { return Diff(&Declarations{}, d) }
+
+// Diff returns the changes that turn before into after, by kind and name.
+func Diff(before, after *Declarations) []Change {
+	var out []Change
+	out = append(out, diffObjects(before.Workspaces, after.Workspaces, setWorkspace)...)
+	out = append(out, diffObjects(before.Engines, after.Engines, setEngine)...)
+	out = append(out, diffObjects(before.Services, after.Services, setService)...)
+	return append(out, diffObjects(before.Selectors, after.Selectors, setSelector)...)
+}
+
+func setWorkspace(w Workspace) Change {
+	return Change{Kind: KindWorkspace, Name: w.Name, Workspace: &w}
+}
+func setEngine(e Engine) Change     { return Change{Kind: KindEngine, Name: e.Name, Engine: &e} }
+func setService(s Service) Change   { return Change{Kind: KindService, Name: s.Name, Service: &s} }
+func setSelector(s Selector) Change { return Change{Kind: KindSelector, Name: s.Name, Selector: &s} }
+
+// diffObjects merges two sorted slices into changes.
+func diffObjects[T named](before, after []T, set func(T) Change) []Change {
+	var out []Change
+	i, j := 0, 0
+	for i < len(before) || j < len(after) {
+		switch order := compareHeads(before[i:], after[j:]); {
+		case order < 0:
+			gone := set(before[i])
+			out = append(out, Change{Kind: gone.Kind, Name: gone.Name})
+			i++
+		case order > 0:
+			out = append(out, set(after[j]))
+			j++
+		default:
+			if !reflect.DeepEqual(before[i], after[j]) {
+				out = append(out, set(after[j]))
+			}
+			i++
+			j++
+		}
+	}
+	return out
+}
+
+// compareHeads orders the first objects; an empty slice comes last.
+func compareHeads[T named](a, b []T) int {
+	switch {
+	case len(b) == 0:
+		return -1
+	case len(a) == 0:
+		return 1
+	default:
+		return strings.Compare(a[0].name(), b[0].name())
+	}
+}
+
+// Apply returns new declarations with the changes made, in order. A change
+// that deletes an absent object has no effect.
+func (d *Declarations) Apply(changes []Change) *Declarations {
+	out := &Declarations{
+		Workspaces: slices.Clone(d.Workspaces), Engines: slices.Clone(d.Engines),
+		Services: slices.Clone(d.Services), Selectors: slices.Clone(d.Selectors),
+	}
+	for _, c := range changes {
+		out.apply(c)
+	}
+	return out
+}
+
+func (d *Declarations) apply(c Change) {
+	switch c.Kind {
+	case KindWorkspace:
+		d.Workspaces = put(d.Workspaces, c.Name, c.Workspace)
+	case KindEngine:
+		d.Engines = put(d.Engines, c.Name, c.Engine)
+	case KindService:
+		d.Services = put(d.Services, c.Name, c.Service)
+	case KindSelector:
+		d.Selectors = put(d.Selectors, c.Name, c.Selector)
+	}
+}
+
+// put sets or, when object is nil, removes one object of a sorted slice.
+func put[T named](objects []T, name string, object *T) []T {
+	index, found := search(objects, name)
+	switch {
+	case object == nil && found:
+		return slices.Delete(objects, index, index+1)
+	case object == nil:
+		return objects
+	case found:
+		objects[index] = *object
+		return objects
+	default:
+		return slices.Insert(objects, index, *object)
+	}
+}
--- /dev/null
+++ b/internal/declare/check.go
@@ -0,0 +1,294 @@
+package declare
+
+import (
+	"fmt"
+	"regexp"
+	"strings"
+	"unicode"
+	"unicode/utf8"
+
+	"github.com/verbenatrail/verbenatrail/internal/fleet"
+)
+
+// Bounds of declarations.
+const (
+	// MaxWeight is the highest weight of a workspace or an upstream.
+	MaxWeight = 1000
+	// MaxCapacity is the most requests in flight that can be declared.
+	MaxCapacity = 100_000
+	// MaxLabels is the most labels of one object.
+	MaxLabels = 64
+	// MaxLabelLength is the most characters of a label's key or value.
+	MaxLabelLength = 63
+	// MaxObjects is the most objects of one kind.
+	MaxObjects = 100_000
+
+	maxNumber = 1_000_000
+)
+
+var namePattern = regexp.MustCompile(`^[A-Za-z0-9]([A-Za-z0-9._-]{0,61}[A-Za-z0-9])?$`)
+
+const nameRemedy = "use 1 to 63 letters, digits, dots, dashes or underscores, with a letter or digit at both ends"
+
+// Check returns all mistakes of meaning as Mistakes, or nil.
+func (s *Source) Check() error { return check(&s.Declarations, s.positions) }
+
+// Check returns all mistakes of meaning as Mistakes without positions, or nil.
+func (d *Declarations) Check() error { return check(d, nil) }
+
+func check(d *Declarations, known positions) error {
+	c := &checker{declarations: d, positions: known}
+	c.checkCounts()
+	c.checkWorkspaces()
+	c.checkEngines()
+	c.checkServices()
+	c.checkUpstreamNames()
+	c.checkSelectors()
+	if len(c.mistakes) == 0 {
+		c.checkReach()
+	}
+	return c.mistakes.orNil()
+}
+
+type checker struct {
+	declarations *Declarations
+	positions    positions
+	mistakes     Mistakes
+}
+
+// add notes a mistake at the place of a part, or else of its object.
+func (c *checker) add(path, part, message, remedy string) {
+	at, ok := c.positions[path+"/"+part]
+	if !ok {
+		at = c.positions[path]
+	}
+	c.mistakes = append(c.mistakes, Mistake{at, path + ": " + message, remedy})
+}
+
+func (c *checker) checkCounts() {
+	d := c.declarations
+	counts := []struct {
+		kind  Kind
+		count int
+	}{
+		{KindWorkspace, len(d.Workspaces)}, {KindEngine, len(d.Engines)},
+		{KindService, len(d.Services)}, {KindSelector, len(d.Selectors)},
+	}
+	for _, n := range counts {
+		if n.count > MaxObjects {
+			c.add(string(n.kind), "", fmt.Sprintf("%d objects", n.count), fmt.Sprintf("declare at most %d", MaxObjects))
+		}
+	}
+}
+
+func (c *checker) checkWorkspaces() {
+	for _, w := range c.declarations.Workspaces {
+		path := objectPath(KindWorkspace, w.Name)
+		c.checkName(path, "name", w.Name)
+		c.checkLabels(path, w.Labels)
+		c.checkRange(path, "weight", w.Weight, 1, MaxWeight)
+		if _, ok := fleet.ParsePriority(w.Priority); !ok {
+			c.add(path, "priority", fmt.Sprintf("unknown priority %q", w.Priority), "use low, normal or high")
+		}
+	}
+}
+
+func (c *checker) checkEngines() {
+	for _, e := range c.declarations.Engines {
+		path := objectPath(KindEngine, e.Name)
+		c.checkName(path, "name", e.Name)
+		c.checkName(path, "model", e.Model)
+		c.checkLabels(path, e.Labels)
+		c.checkRange(path, "weight", e.Weight, 1, MaxWeight)
+		c.checkRange(path, "capacity", e.Capacity, 0, MaxCapacity)
+	}
+}
+
+func (c *checker) checkServices() {
+	models := c.declarations.models()
+	for _, s := range c.declarations.Services {
+		path := objectPath(KindService, s.Name)
+		c.checkName(path, "name", s.Name)
+		c.checkLabels(path, s.Labels)
+		c.checkCalls(path, s.IdempotentCalls)
+		if models[s.Name] {
+			c.add(path, "name", "a model has the same name", "rename the service")
+		}
+		for i, instance := range s.Instances {
+			c.checkInstance(fmt.Sprintf("%s/instances/%d", path, i), instance)
+		}
+	}
+}
+
+func (c *checker) checkInstance(path string, instance Instance) {
+	c.checkName(path, "name", instance.Name)
+	c.checkLabels(path, instance.Labels)
+	c.checkRange(path, "weight", instance.Weight, 1, MaxWeight)
+	c.checkRange(path, "capacity", instance.Capacity, 0, MaxCapacity)
+}
+
+func (c *checker) checkCalls(path string, calls []CallPattern) {
+	for _, call := range calls {
+		if call.Method == "" || call.Method != strings.ToUpper(call.Method) {
+			c.add(path, "idempotentCalls", fmt.Sprintf("method %q is no HTTP method", call.Method), "write it in capitals, like POST")
+		}
+		if !strings.HasPrefix(call.PathPrefix, "/") {
+			c.add(path, "idempotentCalls", fmt.Sprintf("pathPrefix %q is no path", call.PathPrefix), "start it with a slash")
+		}
+	}
+}
+
+// checkUpstreamNames refuses one name for two upstreams.
+func (c *checker) checkUpstreamNames() {
+	owner := make(map[string]string)
+	claim := func(name, path string) {
+		if first, ok := owner[name]; ok {
+			c.add(path, "name", fmt.Sprintf("upstream name %q is taken by %s", name, first), "give each engine and instance its own name")
+			return
+		}
+		owner[name] = path
+	}
+	for _, e := range c.declarations.Engines {
+		claim(e.Name, objectPath(KindEngine, e.Name))
+	}
+	for _, s := range c.declarations.Services {
+		for i, instance := range s.Instances {
+			claim(instance.Name, fmt.Sprintf("%s/instances/%d", objectPath(KindService, s.Name), i))
+		}
+	}
+}
+
+func (c *checker) checkSelectors() {
+	upstreams := upstreamsByTarget(c.declarations.upstreams())
+	groups := groupWorkspaces(c.declarations.Workspaces)
+	models := c.declarations.models()
+	for _, s := range c.declarations.Selectors {
+		path := objectPath(KindSelector, s.Name)
+		c.checkName(path, "name", s.Name)
+		if len(s.Models)+len(s.Services) == 0 {
+			c.add(path, "", "neither models nor services", "list at least one model or service")
+		}
+		c.checkLabelSelector(path, "workspaces", s.Workspaces)
+		c.checkLabelSelector(path, "upstreams", s.Upstreams)
+		if !matchesGroup(s.Workspaces, groups) {
+			c.add(path, "workspaces", "no workspace matches", "correct the labels here or on a workspace, or remove the selector")
+		}
+		c.checkTargets(path, s, models, upstreams)
+	}
+}
+
+func (c *checker) checkTargets(path string, s Selector, models map[string]bool, upstreams map[string][]*fleet.Upstream) {
+	for _, model := range s.Models {
+		if !models[model] {
+			c.add(path, "models", fmt.Sprintf("no engine has the model %q", model), "correct the model, or declare an engine for it")
+			continue
+		}
+		c.checkAdmits(path, model, s.Upstreams, upstreams[model])
+	}
+	for _, service := range s.Services {
+		if _, ok := c.declarations.Service(service); !ok {
+			c.add(path, "services", fmt.Sprintf("no service %q", service), "correct the name, or declare the service")
+			continue
+		}
+		c.checkAdmits(path, service, s.Upstreams, upstreams[service])
+	}
+}
+
+func (c *checker) checkAdmits(path, target string, selector LabelSelector, upstreams []*fleet.Upstream) {
+	for _, u := range upstreams {
+		if selector.Matches(u.Labels) {
+			return
+		}
+	}
+	c.add(path, "upstreams", fmt.Sprintf("no upstream of %q matches", target), "correct the labels here or on an upstream")
+}
+
+// checkReach refuses workspaces that no selector gives an upstream.
+func (c *checker) checkReach() {
+	for _, group := range groupWorkspaces(c.declarations.Workspaces) {
+		if c.selected(group.labels) {
+			continue
+		}
+		for _, name := range group.names {
+			c.add(objectPath(KindWorkspace, name), "labels", "no selector matches, so it has no upstream",
+				"add labels that a selector matches, or a selector for it")
+		}
+	}
+}
+
+func (c *checker) selected(labels fleet.Labels) bool {
+	for _, s := range c.declarations.Selectors {
+		if s.Workspaces.Matches(labels) {
+			return true
+		}
+	}
+	return false
+}
+
+func matchesGroup(selector LabelSelector, groups []workspaceGroup) bool {
+	for _, group := range groups {
+		if selector.Matches(group.labels) {
+			return true
+		}
+	}
+	return false
+}
+
+func (c *checker) checkName(path, part, name string) {
+	if name == "" {
+		c.add(path, part, part+" is missing", nameRemedy)
+		return
+	}
+	if !namePattern.MatchString(name) {
+		c.add(path, part, fmt.Sprintf("%s %q is not allowed", part, name), nameRemedy)
+	}
+}
+
+func (c *checker) checkRange(path, part string, value, least, most int) {
+	if value < least || value > most {
+		c.add(path, part, fmt.Sprintf("%s is %d", part, value), fmt.Sprintf("use %d to %d", least, most))
+	}
+}
+
+func (c *checker) checkLabels(path string, labels fleet.Labels) {
+	if len(labels) > MaxLabels {
+		c.add(path, "labels", fmt.Sprintf("%d labels", len(labels)), fmt.Sprintf("use at most %d", MaxLabels))
+	}
+	for key, value := range labels {
+		c.checkLabel(path, "labels", key, value)
+	}
+}
+
+func (c *checker) checkLabel(path, part, key, value string) {
+	if !validLabelKey(key) {
+		c.add(path, part, fmt.Sprintf("label key %q is not allowed", key), "use 1 to 63 characters without spaces")
+	}
+	if !validLabelText(value) {
+		c.add(path, part, fmt.Sprintf("value %q of label %q is not allowed", value, key), "use at most 63 printable characters without spaces at the ends")
+	}
+}
+
+func (c *checker) checkLabelSelector(path, part string, s LabelSelector) {
+	for key, value := range s.MatchLabels {
+		c.checkLabel(path, part, key, value)
+	}
+	for _, expression := range s.MatchExpressions {
+		if message, remedy := expressionMistake(expression); message != "" && c.positions == nil {
+			c.add(path, part, message, remedy)
+		}
+	}
+}
+
+func validLabelKey(key string) bool {
+	return key != "" && validLabelText(key) && !strings.ContainsFunc(key, unicode.IsSpace)
+}
+
+func validLabelText(text string) bool {
+	if !utf8.ValidString(text) || utf8.RuneCountInString(text) > MaxLabelLength {
+		return false
+	}
+	if strings.TrimSpace(text) != text {
+		return false
+	}
+	return !strings.ContainsFunc(text, func(c rune) bool { return !unicode.IsPrint(c) })
+}
--- /dev/null
+++ b/internal/declare/compile.go
@@ -0,0 +1,221 @@
+package declare
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/verbenatrail/verbenatrail/internal/fleet"
+)
+
+// Compile checks the declarations and returns their snapshot under a revision.
+func Compile(d *Declarations, revision uint64) (*fleet.Snapshot, error) {
+	if err := d.Check(); err != nil {
+		return nil, err
+	}
+	return CompileChecked(d, revision), nil
+}
+
+// CompileChecked is Compile for declarations that passed Check before.
+func CompileChecked(d *Declarations, revision uint64) *fleet.Snapshot {
+	upstreams := d.upstreams()
+	s := &fleet.Snapshot{
+		Revision:   revision,
+		Workspaces: compileWorkspaces(d.Workspaces),
+		Upstreams:  make(map[string]*fleet.Upstream, len(upstreams)),
+		Services:   compileServices(d.Services),
+		Models:     d.models(),
+		Pools:      compilePools(d.Selectors, upstreams),
+	}
+	for _, u := range upstreams {
+		s.Upstreams[u.Name] = u
+	}
+	s.Grants = compileGrants(d, upstreams)
+	return s
+}
+
+func compileWorkspaces(declared []Workspace) map[string]*fleet.Workspace {
+	out := make(map[string]*fleet.Workspace, len(declared))
+	for _, w := range declared {
+		priority, _ := fleet.ParsePriority(w.Priority)
+		out[w.Name] = &fleet.Workspace{Name: w.Name, Labels: w.Labels, Weight: w.Weight, Priority: priority}
+	}
+	return out
+}
+
+func compileServices(declared []Service) map[string]*fleet.Service {
+	out := make(map[string]*fleet.Service, len(declared))
+	for _, s := range declared {
+		service := &fleet.Service{Name: s.Name}
+		for _, call := range s.IdempotentCalls {
+			service.IdempotentCalls = append(service.IdempotentCalls, fleet.CallPattern(call))
+		}
+		out[s.Name] = service
+	}
+	return out
+}
+
+// upstreams returns new upstreams for all engines and instances, in order.
+func (d *Declarations) upstreams() []*fleet.Upstream {
+	var out []*fleet.Upstream
+	for _, e := range d.Engines {
+		out = append(out, &fleet.Upstream{
+			Name: e.Name, Kind: fleet.KindEngine, Labels: e.Labels, Target: e.Model,
+			Weight: e.Weight, Capacity: e.Capacity,
+		})
+	}
+	for _, s := range d.Services {
+		for _, i := range s.Instances {
+			out = append(out, &fleet.Upstream{
+				Name: i.Name, Kind: fleet.KindService, Labels: mergeLabels(s.Labels, i.Labels), Target: s.Name,
+				Weight: i.Weight, Capacity: i.Capacity,
+			})
+		}
+	}
+	return out
+}
+
+func mergeLabels(base, over fleet.Labels) fleet.Labels {
+	out := make(fleet.Labels, len(base)+len(over))
+	maps.Copy(out, base)
+	maps.Copy(out, over)
+	return out
+}
+
+func (d *Declarations) models() map[string]bool {
+	out := make(map[string]bool)
+	for _, e := range d.Engines {
+		out[e.Model] = true
+	}
+	return out
+}
+
+func upstreamsByTarget(upstreams []*fleet.Upstream) map[string][]*fleet.Upstream {
+	out := make(map[string][]*fleet.Upstream)
+	for _, u := range upstreams {
+		out[u.Target] = append(out[u.Target], u)
+	}
+	return out
+}
+
+// admits reports whether a selector covers an upstream.
+func (s Selector) admits(u *fleet.Upstream) bool {
+	targets := s.Models
+	if u.Kind == fleet.KindService {
+		targets = s.Services
+	}
+	return slices.Contains(targets, u.Target) && s.Upstreams.Matches(u.Labels)
+}
+
+// compilePools groups upstreams by their target and the selectors that admit
+// them, and sets each one's Pool.
+func compilePools(selectors []Selector, upstreams []*fleet.Upstream) []*fleet.Pool {
+	members := make(map[string][]*fleet.Upstream)
+	for _, u := range upstreams {
+		name := poolName(selectors, u)
+		members[name] = append(members[name], u)
+	}
+	names := slices.Sorted(maps.Keys(members))
+	pools := make([]*fleet.Pool, 0, len(names))
+	taken := make(map[uint32]bool, len(names))
+	for index, name := range names {
+		hash := freeHash(taken, name)
+		taken[hash] = true
+		pools = append(pools, &fleet.Pool{Name: name, Hash: hash, Upstreams: members[name]})
+		for _, u := range members[name] {
+			u.Pool = index
+		}
+	}
+	return pools
+}
+
+func poolName(selectors []Selector, u *fleet.Upstream) string {
+	var names []string
+	for _, s := range selectors {
+		if s.admits(u) {
+			names = append(names, s.Name)
+		}
+	}
+	return u.Target + "/" + strings.Join(names, "+")
+}
+
+// freeHash returns the short form of a pool's name that no other pool of the
+// snapshot has.
+func freeHash(taken map[uint32]bool, name string) uint32 {
+	for attempt := 0; ; attempt++ {
+		hash := uint32(xxhash.Sum64String(name))
+		if !taken[hash] {
+			return hash
+		}
+		name = fmt.Sprintf("%s#%d", name, attempt)
+	}
+}
+
+// workspaceGroup is the workspaces that share one set of labels.
+type workspaceGroup struct {
+	labels fleet.Labels
+	names  []string
+}
+
+// groupWorkspaces groups by labels, so that selectors are matched once for
+// each distinct set.
+func groupWorkspaces(workspaces []Workspace) []workspaceGroup {
+	index := make(map[string]int)
+	var groups []workspaceGroup
+	for _, w := range workspaces {
+		key := labelsKey(w.Labels)
+		i, ok := index[key]
+		if !ok {
+			i = len(groups)
+			index[key] = i
+			groups = append(groups, workspaceGroup{labels: w.Labels})
+		}
+		groups[i].names = append(groups[i].names, w.Name)
+	}
+	return groups
+}
+
+func labelsKey(labels fleet.Labels) string {
+	var b strings.Builder
+	for _, key := range slices.Sorted(maps.Keys(labels)) {
+		b.WriteString(key)
+		b.WriteByte(0)
+		b.WriteString(labels[key])
+		b.WriteByte(0)
+	}
+	return b.String()
+}
+
+func compileGrants(d *Declarations, upstreams []*fleet.Upstream) map[string][]*fleet.Grant {
+	grants := make([]*fleet.Grant, len(d.Selectors))
+	for i, s := range d.Selectors {
+		grants[i] = compileGrant(s, upstreams)
+	}
+	out := make(map[string][]*fleet.Grant, len(d.Workspaces))
+	for _, group := range groupWorkspaces(d.Workspaces) {
+		var matched []*fleet.Grant
+		for i, s := range d.Selectors {
+			if s.Workspaces.Matches(group.labels) {
+				matched = append(matched, grants[i])
+			}
+		}
+		for _, name := range group.names {
+			out[name] = matched
+		}
+	}
+	return out
+}
+
+func compileGrant(s Selector, upstreams []*fleet.Upstream) *fleet.Grant {
+	grant := &fleet.Grant{Selector: s.Name, Targets: make(map[string][]int)}
+	for _, u := range upstreams {
+		pools := grant.Targets[u.Target]
+		if s.admits(u) && !slices.Contains(pools, u.Pool) {
+			grant.Targets[u.Target] = append(pools, u.Pool)
+		}
+	}
+	return grant
+}
