Configuration store: commits, rollout decisions and the manager of each process

A commit writes manifest, index, record and the touched shards in one transaction; commits that don't fit one stage their shards first. Ruled out: shards overwritten in place, because a first import of all objects exceeds the limits of one transaction. Drains are objects of the same log, so that they reach every process through peers and never fall back; a separate key would need a watch of its own in each.

--- /dev/null
+++ b/internal/configstore/fetch.go
@@ -0,0 +1,100 @@
+package configstore
+
+import (
+	"context"
+
+	"github.com/pkg/errors"
+
+	"github.com/verbenatrail/verbenatrail/internal/rollout"
+)
+
+var errNoSource = errors.New("no way to fetch from this source: set the key-value service or peers")
+
+// fetch asks one source and posts what it brought.
+func (m *Manager) fetch(ctx context.Context, f rollout.Fetch) {
+	limited, cancel := context.WithTimeout(ctx, m.options.Rollout.FetchTimeout)
+	defer cancel()
+	var msg message
+	var err error
+	if f.Source == rollout.Store {
+		msg, err = m.fetchFromStore(limited, f.After)
+	} else {
+		msg, err = m.fetchFromPeer(limited, f)
+	}
+	if err != nil {
+		m.counters.failures.Inc(1)
+		msg = message{event: rollout.FetchFailed{Source: f.Source}}
+	}
+	m.post(ctx, msg)
+}
+
+// fetchFromStore reads the records after a revision, or else the whole.
+func (m *Manager) fetchFromStore(ctx context.Context, after uint64) (message, error) {
+	if m.reader == nil {
+		return message{}, errNoSource
+	}
+	m.counters.storeFetches.Inc(1)
+	if after > 0 {
+		records, err := m.reader.ChangesAfter(ctx, after)
+		if err == nil && !anyOversized(records) {
+			return changesMessage(rollout.Store, records, true), nil
+		}
+		if err != nil && !errors.Is(err, ErrNotKept) {
+			return message{}, err
+		}
+	}
+	whole, err := m.reader.LoadAll(ctx)
+	if err != nil {
+		return message{}, err
+	}
+	return wholeMessage(rollout.Store, whole)
+}
+
+func (m *Manager) fetchFromPeer(ctx context.Context, f rollout.Fetch) (message, error) {
+	if m.options.PeerFetch == nil {
+		return message{}, errNoSource
+	}
+	m.counters.peerFetches.Inc(1)
+	response, err := m.options.PeerFetch(ctx, f.Source.Peer, f.After)
+	if err != nil {
+		return message{}, err
+	}
+	m.counters.peerBytes.Inc(responseBytes(response))
+	if len(response.GetFull()) > 0 {
+		whole, err := unpackCopy(response.GetFull())
+		if err != nil {
+			return message{}, err
+		}
+		return wholeMessage(f.Source, whole)
+	}
+	records, err := unpackRecords(response.GetChanges())
+	if err != nil {
+		return message{}, err
+	}
+	return changesMessage(f.Source, records, true), nil
+}
+
+// wholeMessage refuses a copy without a revision: nothing was committed yet.
+func wholeMessage(source rollout.Source, whole *Copy) (message, error) {
+	if whole.Revision == 0 {
+		return message{}, errors.New("no configuration committed yet: run vtctl apply")
+	}
+	return message{event: rollout.FullReceived{Source: source, Revision: whole.Revision}, whole: whole}, nil
+}
+
+func changesMessage(source rollout.Source, records []Record, requested bool) message {
+	event := rollout.ChangesReceived{Source: source, Requested: requested}
+	for _, record := range records {
+		event.Revisions = append(event.Revisions, record.Revision)
+	}
+	return message{event: event, records: records}
+}
+
+func anyOversized(records []Record) bool {
+	for _, record := range records {
+		if record.Oversized {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/configstore/follow.go
@@ -0,0 +1,148 @@
+package configstore
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"github.com/pkg/errors"
+
+	"github.com/verbenatrail/verbenatrail/internal/kv"
+	"github.com/verbenatrail/verbenatrail/internal/rollout"
+)
+
+// follow learns of new revisions from the service: by a watch in watchers, by
+// polls in all processes.
+func (m *Manager) follow(ctx context.Context) {
+	pauses := backoff.NewExponentialBackOff()
+	pauses.InitialInterval = minWatchPause
+	pauses.MaxInterval = maxWatchPause
+	for ctx.Err() == nil {
+		var err error
+		if m.options.IsWatcher() {
+			err = m.watch(ctx)
+		} else {
+			sleep(ctx, jitter(m.options.MemberPoll))
+			_, err = m.poll(ctx)
+		}
+		if err == nil {
+			pauses.Reset()
+			continue
+		}
+		m.counters.watchRestarts.Inc(1)
+		sleep(ctx, pauses.NextBackOff())
+	}
+}
+
+// jitter returns between three quarters and all of a time span, so that
+// processes don't poll together.
+func jitter(d time.Duration) time.Duration {
+	return d*3/4 + rand.N(d/4+1)
+}
+
+// poll reads the manifest and announces its revision.
+func (m *Manager) poll(ctx context.Context) (uint64, error) {
+	limited, cancel := context.WithTimeout(ctx, storeCallLimit)
+	defer cancel()
+	head, err := m.reader.Head(limited)
+	if err != nil {
+		return 0, err
+	}
+	if head.Revision > 0 {
+		m.post(ctx, message{event: rollout.Announced{Source: rollout.Store, Revision: head.Revision}})
+	}
+	return head.Revision, nil
+}
+
+// watch follows the records until the watch fails, or until this process isn't
+// a watcher any more, when it returns nil.
+func (m *Manager) watch(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	after, err := m.watchPosition(ctx)
+	if err != nil {
+		return err
+	}
+	batches, err := m.options.Store.Watch(ctx, prefixChange, after)
+	if err != nil {
+		return err
+	}
+	polled, err := m.poll(ctx)
+	if err != nil {
+		return err
+	}
+	seen := polled
+	timer := time.NewTimer(jitter(m.options.WatcherPoll))
+	defer timer.Stop()
+	for {
+		select {
+		case batch, open := <-batches:
+			if !open {
+				return errors.WithMessage(kv.ErrUnavailable, "watch closed")
+			}
+			newest, err := m.watched(ctx, batch)
+			if err != nil {
+				return err
+			}
+			seen = max(seen, newest)
+		case <-timer.C:
+			if !m.options.IsWatcher() {
+				return nil
+			}
+			// The watch has had a whole interval to bring what was polled last.
+			if polled > seen {
+				m.counters.silent.Inc(1)
+				return errors.WithMessage(kv.ErrUnavailable, "watch is silent")
+			}
+			if polled, err = m.poll(ctx); err != nil {
+				return err
+			}
+			timer.Reset(jitter(m.options.WatcherPoll))
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+// watchPosition returns the service's revision that a watch starts after.
+func (m *Manager) watchPosition(ctx context.Context) (int64, error) {
+	limited, cancel := context.WithTimeout(ctx, storeCallLimit)
+	defer cancel()
+	_, modRevision, err := m.reader.head(limited)
+	if err != nil || modRevision > 0 {
+		return modRevision, err
+	}
+	_, revision, err := m.options.Store.List(limited, prefixChange)
+	return revision, err
+}
+
+// watched posts the records of a batch and returns the newest revision.
+func (m *Manager) watched(ctx context.Context, batch kv.WatchBatch) (uint64, error) {
+	if batch.Err != nil {
+		return 0, batch.Err
+	}
+	var newest uint64
+	for _, event := range batch.Events {
+		if event.Deleted {
+			continue
+		}
+		var record Record
+		if err := decode(event.Entry.Key, event.Entry.Value, &record); err != nil {
+			return newest, err
+		}
+		m.counters.watchEvents.Inc(1)
+		m.counters.storeBytes.Inc(int64(len(event.Entry.Value)))
+		newest = max(newest, record.Revision)
+		m.post(ctx, recordMessage(record))
+	}
+	return newest, nil
+}
+
+// recordMessage only announces a record that doesn't hold its changes.
+func recordMessage(record Record) message {
+	if record.Oversized {
+		return message{event: rollout.Announced{Source: rollout.Store, Revision: record.Revision}}
+	}
+	return changesMessage(rollout.Store, []Record{record}, false)
+}
--- /dev/null
+++ b/internal/configstore/manager_test.go
@@ -0,0 +1,227 @@
+package configstore
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/verbenatrail/verbenatrail/internal/declare"
+	"github.com/verbenatrail/verbenatrail/internal/kv"
+	"github.com/verbenatrail/verbenatrail/internal/kv/kvmem"
+	"github.com/verbenatrail/verbenatrail/internal/peerpb"
+	"github.com/verbenatrail/verbenatrail/internal/rollout"
+)
+
+// waitLimit ends a test that hangs; no result depends on it.
+const waitLimit = 20 * time.Second
+
+// network joins managers without sockets.
+type network struct {
+	mu       sync.Mutex
+	managers map[string]*Manager
+}
+
+func (n *network) fetch(_ context.Context, address string, have uint64) (*peerpb.ConfigResponse, error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	peer, ok := n.managers[address]
+	if !ok {
+		return nil, errors.New("peer is gone")
+	}
+	return peer.ServePeer(&peerpb.ConfigRequest{HaveRevision: have}), nil
+}
+
+// start runs a manager until the returned function is called.
+func (n *network) start(t *testing.T, address string, store kv.Store, watcher bool) func() {
+	t.Helper()
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	settings := rollout.DefaultSettings()
+	settings.StartGrace = 10 * time.Millisecond
+	settings.MinBackoff = 5 * time.Millisecond
+	settings.MaxBackoff = 20 * time.Millisecond
+	m := New(Options{
+		Store: store, PeerFetch: n.fetch, IsWatcher: func() bool { return watcher },
+		Rollout: settings, WatcherPoll: 50 * time.Millisecond, MemberPoll: time.Hour, Logger: logger, Seed: 1,
+	})
+	n.mu.Lock()
+	n.managers[address] = m
+	n.mu.Unlock()
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	running.Go(func() { _ = m.Run(ctx) })
+	stop := sync.OnceFunc(func() { cancel(); running.Wait() })
+	t.Cleanup(stop)
+	return stop
+}
+
+// gossip announces every manager's revision to every other.
+func (n *network) gossip() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for address, from := range n.managers {
+		for _, to := range n.managers {
+			if to != from {
+				to.PeerAnnounced(address, from.Revision())
+			}
+		}
+	}
+}
+
+// await gossips until all managers are at a revision.
+func (n *network) await(t *testing.T, revision uint64) {
+	t.Helper()
+	deadline := time.Now().Add(waitLimit)
+	for time.Now().Before(deadline) {
+		n.gossip()
+		if n.allAt(revision) {
+			return
+		}
+		time.Sleep(2 * time.Millisecond)
+	}
+	t.Fatalf("not all managers reached revision %d", revision)
+}
+
+func (n *network) allAt(revision uint64) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, m := range n.managers {
+		if m.Revision() != revision {
+			return false
+		}
+	}
+	return true
+}
+
+func (n *network) get(address string) *Manager {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.managers[address]
+}
+
+func TestOneWatcherFeedsTheOthers(t *testing.T) {
+	store := kvmem.New(kvmem.Options{})
+	ana := committer(store, "ana")
+	n := &network{managers: make(map[string]*Manager)}
+	for i := range 5 {
+		n.start(t, fmt.Sprint(i), store, i == 0)
+	}
+	mustCommit(t, ana, 0, engineChange("a", "1"))
+	n.await(t, 1)
+	drain := declare.Drain{Name: "a"}
+	mustCommit(t, ana, 1, declare.Change{Kind: declare.KindDrain, Name: "a", Drain: &drain})
+	n.await(t, 2)
+	member := n.get("3")
+	if !member.Drained().Has("a") || member.Snapshot().Upstreams["a"] == nil {
+		t.Fatal("content is missing at a member")
+	}
+	if member.counters.watchEvents.Count() != 0 || member.counters.peerFetches.Count() == 0 {
+		t.Fatal("a member that isn't a watcher used the watch")
+	}
+}
+
+func TestStartDuringOutage(t *testing.T) {
+	f := &faults{}
+	store := kvmem.New(kvmem.Options{Fault: f.next})
+	mustCommit(t, committer(store, "ana"), 0, engineChange("a", "1"))
+	n := &network{managers: make(map[string]*Manager)}
+	n.start(t, "old", store, true)
+	n.await(t, 1)
+	f.outage(true)
+	n.start(t, "new", store, true)
+	n.await(t, 1)
+	f.outage(false)
+	mustCommit(t, committer(store, "ana"), 1, engineChange("a", "2"))
+	n.await(t, 2)
+}
+
+// TestRestartOfAllDuringOutage replaces every process one after the other while
+// the service is down.
+func TestRestartOfAllDuringOutage(t *testing.T) {
+	f := &faults{}
+	store := kvmem.New(kvmem.Options{Fault: f.next})
+	mustCommit(t, committer(store, "ana"), 0, engineChange("a", "1"))
+	n := &network{managers: make(map[string]*Manager)}
+	stops := []func(){n.start(t, "0", store, true), n.start(t, "1", store, true)}
+	n.await(t, 1)
+	f.outage(true)
+	for i := range 6 {
+		stops[0]()
+		n.mu.Lock()
+		delete(n.managers, fmt.Sprint(i))
+		n.mu.Unlock()
+		stops = append(stops[1:], n.start(t, fmt.Sprint(i+2), store, true))
+		n.await(t, 1)
+	}
+}
+
+// silentStore opens watches that never bring anything.
+type silentStore struct{ kv.Store }
+
+func (s silentStore) Watch(ctx context.Context, _ string, _ int64) (<-chan kv.WatchBatch, error) {
+	out := make(chan kv.WatchBatch)
+	context.AfterFunc(ctx, func() { close(out) })
+	return out, nil
+}
+
+func TestSilentWatchIsFoundByPoll(t *testing.T) {
+	store := kvmem.New(kvmem.Options{})
+	n := &network{managers: make(map[string]*Manager)}
+	n.start(t, "0", silentStore{store}, true)
+	mustCommit(t, committer(store, "ana"), 0, engineChange("a", "1"))
+	n.await(t, 1)
+	mustCommit(t, committer(store, "ana"), 1, engineChange("a", "2"))
+	n.await(t, 2)
+}
+
+func TestOversizedCommitAndCompactedWatch(t *testing.T) {
+	store := kvmem.New(kvmem.Options{})
+	ana := committer(store, "ana")
+	n := &network{managers: make(map[string]*Manager)}
+	n.start(t, "0", store, true)
+	n.start(t, "1", store, false)
+	mustCommit(t, ana, 0, engineChange("a", "1"))
+	n.await(t, 1)
+	var changes []declare.Change
+	for i := range 3000 {
+		changes = append(changes, engineChange(fmt.Sprintf("e%d", i), "1"))
+	}
+	mustCommit(t, ana, 1, changes...)
+	n.await(t, 2)
+	store.Compact()
+	mustCommit(t, ana, 2, engineChange("a", "3"))
+	n.await(t, 3)
+	if len(n.get("1").Declarations().Engines) != 3001 {
+		t.Fatal("a member lacks objects")
+	}
+}
+
+func TestServedChangesAndWhole(t *testing.T) {
+	v := newView(1, &declare.Declarations{}, nil)
+	for revision := uint64(2); revision <= 4; revision++ {
+		record := Record{Manifest: Manifest{Revision: revision}, Changes: []declare.Change{engineChange("a", fmt.Sprint(revision))}}
+		next, err := v.with([]Record{record})
+		if err != nil {
+			t.Fatal(err)
+		}
+		v = next
+	}
+	recent, err := v.answer(2)
+	if err != nil || len(recent.Changes) != 2 || len(recent.Full) != 0 {
+		t.Fatal(recent, err)
+	}
+	old, err := v.answer(0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	whole, err := unpackCopy(old.Full)
+	if err != nil || whole.Revision != 4 || whole.Declarations.Engines[0].Labels["zone"] != "4" {
+		t.Fatal(whole, err)
+	}
+}
--- /dev/null
+++ b/internal/configstore/reader.go
@@ -0,0 +1,165 @@
+package configstore
+
+import (
+	"context"
+	"sort"
+
+	"github.com/pkg/errors"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/verbenatrail/verbenatrail/internal/declare"
+	"github.com/verbenatrail/verbenatrail/internal/kv"
+)
+
+const (
+	// loadAttempts bounds the reads of a whole copy that moves.
+	loadAttempts = 8
+	// maxRecordReads is the most records read one by one; further behind, a
+	// reader loads the whole.
+	maxRecordReads = 32
+)
+
+// Reader reads declarations from the key-value service.
+type Reader struct {
+	store kv.Store
+	// bytes counts the values read.
+	bytes metrics.Counter
+}
+
+// NewReader returns a Reader; it makes no call.
+func NewReader(store kv.Store) *Reader {
+	return &Reader{store: store, bytes: metrics.NilCounter{}}
+}
+
+// Head returns the manifest; its revision is zero when nothing was committed.
+func (r *Reader) Head(ctx context.Context) (Manifest, error) {
+	manifest, _, err := r.head(ctx)
+	return manifest, err
+}
+
+// head also returns the service's revision of the manifest, zero if there is
+// none.
+func (r *Reader) head(ctx context.Context) (Manifest, int64, error) {
+	var manifest Manifest
+	entry, err := r.read(ctx, keyManifest, &manifest)
+	return manifest, entry.ModRevision, err
+}
+
+// read decodes the value of a key; an absent key leaves out as it is.
+func (r *Reader) read(ctx context.Context, key string, out any) (kv.Entry, error) {
+	entry, err := r.store.Get(ctx, key)
+	if errors.Is(err, kv.ErrNotFound) {
+		return kv.Entry{}, nil
+	}
+	if err != nil {
+		return kv.Entry{}, errors.WithMessage(err, "read "+key)
+	}
+	r.bytes.Inc(int64(len(entry.Value)))
+	return entry, decode(key, entry.Value, out)
+}
+
+// LoadAll returns all declarations at one revision. When a commit lands
+// meanwhile, it reads again.
+func (r *Reader) LoadAll(ctx context.Context) (*Copy, error) {
+	for range loadAttempts {
+		current, err := r.loadOnce(ctx)
+		if err != nil || current != nil {
+			return current, err
+		}
+	}
+	return nil, ErrMoving
+}
+
+// loadOnce returns nil when a shard of the index is gone already.
+func (r *Reader) loadOnce(ctx context.Context) (*Copy, error) {
+	var current index
+	if _, err := r.read(ctx, keyIndex, &current); err != nil {
+		return nil, err
+	}
+	entries, _, err := r.store.List(ctx, prefixShard)
+	if err != nil {
+		return nil, errors.WithMessage(err, "read shards")
+	}
+	shards := make(map[string][]byte, len(entries))
+	for _, entry := range entries {
+		r.bytes.Inc(int64(len(entry.Value)))
+		shards[entry.Key] = entry.Value
+	}
+	return assemble(current, shards)
+}
+
+func assemble(current index, shards map[string][]byte) (*Copy, error) {
+	var changes []declare.Change
+	for shard, version := range current.Versions {
+		if version == "" {
+			continue
+		}
+		data, ok := shards[shardKey(shard, version)]
+		if !ok {
+			return nil, nil
+		}
+		part, err := declare.Decode(data)
+		if err != nil {
+			return nil, err
+		}
+		changes = append(changes, part.Changes()...)
+	}
+	return &Copy{Revision: current.Revision, Declarations: declare.Build(changes)}, nil
+}
+
+// ChangesAfter returns the records of all revisions after one, in order, or
+// ErrNotKept. It reads each record by itself.
+func (r *Reader) ChangesAfter(ctx context.Context, after uint64) ([]Record, error) {
+	head, err := r.Head(ctx)
+	if err != nil {
+		return nil, err
+	}
+	if head.Revision > after+maxRecordReads {
+		return nil, ErrNotKept
+	}
+	var records []Record
+	for revision := after + 1; revision <= head.Revision; revision++ {
+		record, err := r.Record(ctx, revision)
+		if err != nil {
+			return nil, err
+		}
+		records = append(records, record)
+	}
+	return records, nil
+}
+
+// Record returns the changes of one revision, or ErrNotKept.
+func (r *Reader) Record(ctx context.Context, revision uint64) (Record, error) {
+	var record Record
+	if _, err := r.read(ctx, recordKey(revision), &record); err != nil {
+		return Record{}, err
+	}
+	if record.Revision != revision {
+		return Record{}, errors.WithMessagef(ErrNotKept, "revision %d", revision)
+	}
+	return record, nil
+}
+
+// History returns the records of all kept revisions after one, or ErrNotKept.
+// It reads all kept records: it is for operators, not for daemons.
+func (r *Reader) History(ctx context.Context, after uint64) ([]Record, error) {
+	entries, _, err := r.store.List(ctx, prefixChange)
+	if err != nil {
+		return nil, errors.WithMessage(err, "read changes")
+	}
+	var records []Record
+	for _, entry := range entries {
+		var record Record
+		if err := decode(entry.Key, entry.Value, &record); err != nil {
+			return nil, err
+		}
+		if record.Revision > after {
+			records = append(records, record)
+		}
+	}
+	sort.Slice(records, func(i, j int) bool { return records[i].Revision < records[j].Revision })
+	if len(records) > 0 && records[0].Revision != after+1 {
+		return nil, errors.WithMessagef(ErrNotKept, "kept from revision %d", records[0].Revision)
+	}
+	return records, nil
+}
--- a/internal/declare/change.go
+++ b/internal/declare/change.go
@@ -17,11 +17,12 @@
 	Engine    *Engine    `json:"engine,omitempty"`
 	Service   *Service   `json:"service,omitempty"`
 	Selector  *Selector  `json:"selector,omitempty"`
+	Drain     *Drain     `json:"drain,omitempty"`
 }
 
 // Deletes reports whether the change removes its object.
 func (c Change) Deletes() bool {
-	return c.Workspace == nil && c.Engine == nil && c.Service == nil && c.Selector == nil
+	return c.Workspace == nil && c.Engine == nil && c.Service == nil && c.Selector == nil && c.Drain == nil
 }
 
 // Object returns the path of the object, like "engine/balaju-1".
@@ -50,12 +51,14 @@
 func (e Engine) name() string    { return e.Name }
 func (s Service) name() string   { return s.Name }
 func (s Selector) name() string  { return s.Name }
+func (d Drain) name() string     { return d.Name }
 
 func (d *Declarations) sort() {
 	sortByName(d.Workspaces)
 	sortByName(d.Engines)
 	sortByName(d.Services)
 	sortByName(d.Selectors)
+	sortByName(d.Drains)
 }
 
 func sortByName[T named](objects []T) {
@@ -90,7 +93,8 @@
 	out = append(out, diffObjects(before.Workspaces, after.Workspaces, setWorkspace)...)
 	out = append(out, diffObjects(before.Engines, after.Engines, setEngine)...)
 	out = append(out, diffObjects(before.Services, after.Services, setService)...)
-	return append(out, diffObjects(before.Selectors, after.Selectors, setSelector)...)
+	out = append(out, diffObjects(before.Selectors, after.Selectors, setSelector)...)
+	return append(out, diffObjects(before.Drains, after.Drains, setDrain)...)
 }
 
 func setWorkspace(w Workspace) Change {
@@ -99,6 +103,7 @@
 func setEngine(e Engine) Change     { return Change{Kind: KindEngine, Name: e.Name, Engine: &e} }
 func setService(s Service) Change   { return Change{Kind: KindService, Name: s.Name, Service: &s} }
 func setSelector(s Selector) Change { return Change{Kind: KindSelector, Name: s.Name, Selector: &s} }
+func setDrain(d Drain) Change       { return Change{Kind: KindDrain, Name: d.Name, Drain: &d} }
 
 // diffObjects merges two sorted slices into changes.
 func diffObjects[T named](before, after []T, set func(T) Change) []Change {
@@ -142,6 +147,7 @@
 	out := &Declarations{
 		Workspaces: slices.Clone(d.Workspaces), Engines: slices.Clone(d.Engines),
 		Services: slices.Clone(d.Services), Selectors: slices.Clone(d.Selectors),
+		Drains: slices.Clone(d.Drains),
 	}
 	for _, c := range changes {
 		out.apply(c)
@@ -159,6 +165,8 @@
 		d.Services = put(d.Services, c.Name, c.Service)
 	case KindSelector:
 		d.Selectors = put(d.Selectors, c.Name, c.Selector)
+	case KindDrain:
+		d.Drains = put(d.Drains, c.Name, c.Drain)
 	}
 }
 
@@ -177,3 +185,65 @@
 		return slices.Insert(objects, index, *object)
 	}
 }
+
+// WithDrainsOf returns d with the drains of current, for those upstreams that d
+// still declares.
+func (d *Declarations) WithDrainsOf(current *Declarations) *Declarations {
+	out := *d
+	out.Drains = nil
+	names := d.upstreamNames()
+	for _, drain := range current.Drains {
+		if names[drain.Name] {
+			out.Drains = append(out.Drains, drain)
+		}
+	}
+	return &out
+}
+
+func (d *Declarations) upstreamNames() map[string]bool {
+	names := make(map[string]bool)
+	for _, u := range d.upstreams() {
+		names[u.Name] = true
+	}
+	return names
+}
+
+// DrainSet is the names of drained upstreams; it is immutable.
+type DrainSet struct{ names map[string]bool }
+
+// DrainSet returns the drained upstreams of d.
+func (d *Declarations) DrainSet() DrainSet {
+	names := make(map[string]bool, len(d.Drains))
+	for _, drain := range d.Drains {
+		names[drain.Name] = true
+	}
+	return DrainSet{names}
+}
+
+// Has reports whether an upstream is drained.
+func (s DrainSet) Has(upstream string) bool { return s.names[upstream] }
+
+// Len returns the number of drained upstreams.
+func (s DrainSet) Len() int { return len(s.names) }
+
+// Build returns the declarations that hold the objects of changes, which name
+// each object once.
+func Build(changes []Change) *Declarations {
+	out := &Declarations{}
+	for _, c := range changes {
+		switch {
+		case c.Workspace != nil:
+			out.Workspaces = append(out.Workspaces, *c.Workspace)
+		case c.Engine != nil:
+			out.Engines = append(out.Engines, *c.Engine)
+		case c.Service != nil:
+			out.Services = append(out.Services, *c.Service)
+		case c.Selector != nil:
+			out.Selectors = append(out.Selectors, *c.Selector)
+		case c.Drain != nil:
+			out.Drains = append(out.Drains, *c.Drain)
+		}
+	}
+	out.sort()
+	return out
+}
--- a/internal/declare/check.go
+++ b/internal/declare/check.go
@@ -44,6 +44,7 @@
 	c.checkServices()
 	c.checkUpstreamNames()
 	c.checkSelectors()
+	c.checkDrains()
 	if len(c.mistakes) == 0 {
 		c.checkReach()
 	}
@@ -177,6 +178,15 @@
 	}
 }
 
+func (c *checker) checkDrains() {
+	names := c.declarations.upstreamNames()
+	for _, drain := range c.declarations.Drains {
+		if !names[drain.Name] {
+			c.add(objectPath(KindDrain, drain.Name), "", "no such upstream is declared", "name a declared engine or instance, or undrain it")
+		}
+	}
+}
+
 func (c *checker) checkTargets(path string, s Selector, models map[string]bool, upstreams map[string][]*fleet.Upstream) {
 	for _, model := range s.Models {
 		if !models[model] {
--- a/internal/declare/types.go
+++ b/internal/declare/types.go
@@ -16,6 +16,7 @@
 	KindEngine    Kind = "engine"
 	KindService   Kind = "service"
 	KindSelector  Kind = "selector"
+	KindDrain     Kind = "drain"
 )
 
 // Declarations are all declared objects. Each slice is sorted by name; treat
@@ -25,6 +26,14 @@
 	Engines    []Engine    `json:"engines,omitempty"`
 	Services   []Service   `json:"services,omitempty"`
 	Selectors  []Selector  `json:"selectors,omitempty"`
+	// Drains aren't read from files: operators set and remove them one by one.
+	Drains []Drain `json:"drains,omitempty"`
+}
+
+// Drain keeps new work from one upstream while it stays declared.
+type Drain struct {
+	// Name is the upstream's.
+	Name string `json:"name"`
 }
 
 // Workspace declares one customer's share of the traffic.
