--- /dev/null
+++ b/cmd/vt-standin/platform.go
@@ -0,0 +1,86 @@
+package main
+
+import (
+	"os"
+
+	"github.com/pkg/errors"
+	"github.com/spf13/cobra"
+
+	"github.com/verbenatrail/verbenatrail/internal/hostlist"
+	"github.com/verbenatrail/verbenatrail/internal/standin/hostserver"
+	"github.com/verbenatrail/verbenatrail/internal/standin/kvserver"
+	"github.com/verbenatrail/verbenatrail/internal/standin/weights"
+)
+
+func newKVCommand() *cobra.Command {
+	var listen string
+	cfg := kvserver.DefaultConfig()
+	cmd := &cobra.Command{
+		Use:   "kv",
+		Short: "Key-value service: the etcd v3 JSON gateway over memory",
+		Args:  cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error {
+			return serve("kv", listen, kvserver.New(cfg))
+		},
+	}
+	addListenFlag(cmd, &listen)
+	flags := cmd.Flags()
+	flags.IntVar(&cfg.WritesPerSecond, "writes-per-second", cfg.WritesPerSecond, "rate of writes, and its burst")
+	flags.IntVar(&cfg.ReadsPerSecond, "reads-per-second", cfg.ReadsPerSecond, "rate of reads, and its burst")
+	flags.IntVar(&cfg.HistoryLimit, "history", cfg.HistoryLimit, "changes kept for watches")
+	return cmd
+}
+
+func newHostListCommand() *cobra.Command {
+	var listen, hostsFile string
+	cfg := hostserver.Config{Lag: hostserver.DefaultLag}
+	cmd := &cobra.Command{
+		Use:   "hostlist",
+		Short: "List of live and leaving hosts, some seconds old",
+		Args:  cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error {
+			hosts, err := readHosts(hostsFile)
+			if err != nil {
+				return err
+			}
+			cfg.Hosts = hosts
+			return serve("hostlist", listen, hostserver.New(cfg))
+		},
+	}
+	addListenFlag(cmd, &listen)
+	flags := cmd.Flags()
+	flags.StringVar(&hostsFile, "hosts", "", "YAML or JSON file with the list at the start")
+	flags.DurationVar(&cfg.Lag, "lag", cfg.Lag, "time until a change becomes visible")
+	return cmd
+}
+
+// readHosts reads the list at the start; no file means an empty list.
+func readHosts(path string) ([]hostlist.Host, error) {
+	if path == "" {
+		return nil, nil
+	}
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, errors.Wrap(err, "hosts file can't be read: check --hosts")
+	}
+	return hostserver.ParseHosts(data)
+}
+
+func newWeightsCommand() *cobra.Command {
+	var listen string
+	cfg := weights.DefaultConfig()
+	cmd := &cobra.Command{
+		Use:   "weights",
+		Short: "Weight store with a limited rate",
+		Args:  cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error {
+			return serve("weights", listen, weights.New(cfg))
+		},
+	}
+	addListenFlag(cmd, &listen)
+	flags := cmd.Flags()
+	flags.Float64Var(&cfg.LoadsPerMinute, "loads-per-minute", cfg.LoadsPerMinute, "rate of loads")
+	flags.IntVar(&cfg.Burst, "burst", cfg.Burst, "loads that may come at once")
+	flags.Int64Var(&cfg.SizeBytes, "size-bytes", cfg.SizeBytes, "size of each model's weights")
+	return cmd
+}
