--- a/internal/kv/etcdjson/failure.go
+++ b/internal/kv/etcdjson/failure.go
@@ -43,9 +43,12 @@
 	"etcdserver: not leader",
 	"etcdserver: rpc not supported for learner",
 	"connection error: desc = \"transport: error while dialing",
-	"service down",
 }
 
+// outageText is the whole message of a service that is shut down for an outage
+// and takes no calls.
+const outageText = "unavailable"
+
 func (f failure) text() string {
 	if f.Message != "" {
 		return f.Message
@@ -63,6 +66,9 @@
 // surelyRefused reports whether the message says that nothing was applied.
 func (f failure) surelyRefused() bool {
 	text := strings.ToLower(f.text())
+	if text == outageText {
+		return true
+	}
 	for _, part := range refusedMessages {
 		if strings.Contains(text, part) {
 			return true
