vtctl: check, diff, apply, get, status, drain and undrain

apply takes the revision that the files are based on from a file beside them. Without it, an operator with an older checkout would undo what another committed; ruled out: comparing with the newest revision only, which lets the second of two racing operators revert the first. Commits that touch other objects, such as drains, don't conflict.

--- a/internal/configstore/reader.go
+++ b/internal/configstore/reader.go
@@ -163,3 +163,45 @@
 	}
 	return records, nil
 }
+
+// CheckOverlap returns a *ConflictError when changes touch an object that was
+// committed after the base, up to the current revision.
+func (r *Reader) CheckOverlap(ctx context.Context, base, current uint64, changes []declare.Change) error {
+	if base >= current {
+		return nil
+	}
+	records, err := r.History(ctx, base)
+	if err != nil {
+		return err
+	}
+	touched := make(map[string]bool, len(changes))
+	for _, change := range changes {
+		touched[change.Object()] = true
+	}
+	for _, record := range records {
+		if record.Revision <= current && record.touches(touched) {
+			return r.conflictSince(ctx, base)
+		}
+	}
+	return nil
+}
+
+func (r *Reader) conflictSince(ctx context.Context, base uint64) error {
+	head, err := r.Head(ctx)
+	if err != nil {
+		return err
+	}
+	return &ConflictError{Base: base, Current: head}
+}
+
+func (r Record) touches(objects map[string]bool) bool {
+	if r.Oversized {
+		return true
+	}
+	for _, change := range r.Changes {
+		if objects[change.Object()] {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/declare/change.go
+++ b/internal/declare/change.go
@@ -247,3 +247,39 @@
 	out.sort()
 	return out
 }
+
+// Value returns the object that the change sets, or nil when it deletes.
+func (c Change) Value() any {
+	switch {
+	case c.Workspace != nil:
+		return c.Workspace
+	case c.Engine != nil:
+		return c.Engine
+	case c.Service != nil:
+		return c.Service
+	case c.Selector != nil:
+		return c.Selector
+	case c.Drain != nil:
+		return c.Drain
+	default:
+		return nil
+	}
+}
+
+// Has reports whether an object is declared.
+func (d *Declarations) Has(kind Kind, name string) bool {
+	found := false
+	switch kind {
+	case KindWorkspace:
+		_, found = search(d.Workspaces, name)
+	case KindEngine:
+		_, found = search(d.Engines, name)
+	case KindService:
+		_, found = search(d.Services, name)
+	case KindSelector:
+		_, found = search(d.Selectors, name)
+	case KindDrain:
+		_, found = search(d.Drains, name)
+	}
+	return found
+}
--- /dev/null
+++ b/internal/vtctl/apply.go
@@ -0,0 +1,141 @@
+package vtctl
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+
+	"github.com/pkg/errors"
+	"github.com/spf13/cobra"
+
+	"github.com/verbenatrail/verbenatrail/internal/configstore"
+	"github.com/verbenatrail/verbenatrail/internal/declare"
+)
+
+const (
+	// baseFileName is the file beside the declarations that holds the revision
+	// that they were last applied as. It is kept in version control with them.
+	baseFileName = ".vtctl-base"
+	// baseCurrent takes the newest revision as base, whoever committed it.
+	baseCurrent = "current"
+)
+
+// applyResult is the JSON output of apply, drain and undrain.
+type applyResult struct {
+	// Revision holds the changes; it is the newest when there are none.
+	Revision uint64           `json:"revision"`
+	Changes  []declare.Change `json:"changes"`
+}
+
+func (c *cli) applyCommand() *cobra.Command {
+	var base string
+	command := &cobra.Command{
+		Use: "apply PATH", Short: "Commit declarations as a new revision", Args: arguments(cobra.ExactArgs(1)),
+		Long: `apply makes the declarations at PATH those of the fleet.
+
+The base is the revision that the files were written against. When others have
+committed since, and the files would undo what they changed, apply ends with a
+conflict (exit code 3) and changes nothing. The base is read from ` + baseFileName + `
+beside the files, which apply writes; keep it in version control with them.`,
+		Example: "  vtctl apply declarations/\n  vtctl apply declarations/ --base 12",
+	}
+	command.Flags().StringVar(&base, "base", "", "revision that the files are based on, or "+baseCurrent+" to overrule others")
+	command.RunE = func(command *cobra.Command, args []string) error {
+		ctx, cancel := c.limit(command)
+		defer cancel()
+		return c.apply(ctx, args[0], base)
+	}
+	return command
+}
+
+func (c *cli) apply(ctx context.Context, path, base string) error {
+	desired, err := declare.Load(path)
+	if err != nil {
+		return err
+	}
+	reader, current, err := c.load(ctx)
+	if err != nil {
+		return err
+	}
+	changes := declare.Diff(current.Declarations, desired.WithDrainsOf(current.Declarations))
+	if len(changes) == 0 {
+		return c.applied(path, applyResult{Revision: current.Revision})
+	}
+	if err := c.checkBase(ctx, reader, current, changes, path, base); err != nil {
+		return err
+	}
+	committer, err := c.committer()
+	if err != nil {
+		return err
+	}
+	revision, err := committer.Commit(ctx, current.Revision, changes)
+	if err != nil {
+		return err
+	}
+	return c.applied(path, applyResult{revision, changes})
+}
+
+// checkBase refuses changes that would undo commits made after the base.
+func (c *cli) checkBase(ctx context.Context, reader *configstore.Reader, current *configstore.Copy, changes []declare.Change, path, flag string) error {
+	if flag == baseCurrent || current.Revision == 0 {
+		return nil
+	}
+	base, err := baseRevision(path, flag, current.Revision)
+	if err != nil {
+		return err
+	}
+	if base > current.Revision {
+		return errors.WithMessagef(errUsage, "base %d is newer than the newest revision %d: check the address of the key-value service", base, current.Revision)
+	}
+	return reader.CheckOverlap(ctx, base, current.Revision, changes)
+}
+
+func baseRevision(path, flag string, current uint64) (uint64, error) {
+	text := flag
+	if text == "" {
+		data, err := os.ReadFile(baseFile(path))
+		if errors.Is(err, os.ErrNotExist) {
+			return 0, errors.WithMessagef(errUsage, "the base of the files isn't known: compare with `vtctl diff %s`, then apply with --base %d", path, current)
+		}
+		if err != nil {
+			return 0, errors.Wrap(err, "base file can't be read: give --base")
+		}
+		text = strings.TrimSpace(string(data))
+	}
+	base, err := strconv.ParseUint(text, 10, 64)
+	if err != nil {
+		return 0, errors.WithMessagef(errUsage, "base %q is no revision: give --base with a number", text)
+	}
+	return base, nil
+}
+
+// baseFile returns the base file of a directory or of a file in it.
+func baseFile(path string) string {
+	if info, err := os.Stat(path); err == nil && !info.IsDir() {
+		path = filepath.Dir(path)
+	}
+	return filepath.Join(path, baseFileName)
+}
+
+// applied keeps the new base and prints the result.
+func (c *cli) applied(path string, result applyResult) error {
+	text := strconv.FormatUint(result.Revision, 10) + "\n"
+	if err := os.WriteFile(baseFile(path), []byte(text), 0o644); err != nil {
+		fmt.Fprintf(c.errOut, "vtctl: base file not written, give --base %d next time: %v\n", result.Revision, err)
+	}
+	return c.printApplied(result)
+}
+
+func (c *cli) printApplied(result applyResult) error {
+	return c.print(result, func(out io.Writer) {
+		if len(result.Changes) == 0 {
+			fmt.Fprintf(out, "no change: revision %d\n", result.Revision)
+			return
+		}
+		fmt.Fprintf(out, "committed revision %d: %d changes\n", result.Revision, len(result.Changes))
+	})
+}
--- /dev/null
+++ b/internal/vtctl/root.go
@@ -0,0 +1,199 @@
+// Package vtctl implements the operators' command line.
+package vtctl
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/user"
+	"runtime/debug"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/spf13/cobra"
+
+	"github.com/verbenatrail/verbenatrail/internal/configstore"
+	"github.com/verbenatrail/verbenatrail/internal/declare"
+	"github.com/verbenatrail/verbenatrail/internal/kv/etcdjson"
+	"github.com/verbenatrail/verbenatrail/internal/settings"
+)
+
+// Exit codes.
+const (
+	ExitDone           = 0
+	ExitFailed         = 1
+	ExitMistake        = 2
+	ExitConflict       = 3
+	ExitOutcomeUnknown = 4
+	ExitDifference     = 5
+)
+
+const defaultTimeout = 15 * time.Second
+
+// Settings are what a settings file may hold; flags override them.
+type Settings struct {
+	// KeyValue are the base URLs of the key-value service.
+	KeyValue []string `yaml:"key_value" validate:"dive,url"`
+	// HostList is the base URL of the platform's host list.
+	HostList string `yaml:"host_list" validate:"omitempty,url"`
+	// AdminPort is the port of admin pages on the hosts of the list.
+	AdminPort int `yaml:"admin_port" validate:"gte=0,lte=65535"`
+	// Routers are admin addresses; when set, the host list isn't asked.
+	Routers []string `yaml:"routers" validate:"dive,hostname_port"`
+	// Author names who commits changes.
+	Author string `yaml:"author" validate:"max=64"`
+}
+
+var (
+	errUsage      = errors.New("wrong use of the command")
+	errDifference = errors.New("there are differences")
+)
+
+// cli is one run of the tool.
+type cli struct {
+	settings Settings
+	file     string
+	output   string
+	timeout  time.Duration
+	out      io.Writer
+	errOut   io.Writer
+}
+
+// Run runs the tool with arguments and returns its exit code.
+func Run(ctx context.Context, arguments []string, out, errOut io.Writer) int {
+	root := NewCommand(out, errOut)
+	root.SetArgs(arguments)
+	err := root.ExecuteContext(ctx)
+	if err != nil && !errors.Is(err, errDifference) {
+		fmt.Fprintln(errOut, "vtctl: "+err.Error())
+	}
+	return exitCode(err)
+}
+
+func exitCode(err error) int {
+	var mistakes declare.Mistakes
+	switch {
+	case err == nil:
+		return ExitDone
+	case errors.As(err, &mistakes), errors.Is(err, errUsage):
+		return ExitMistake
+	case errors.Is(err, configstore.ErrConflict):
+		return ExitConflict
+	case errors.Is(err, configstore.ErrOutcomeUnknown):
+		return ExitOutcomeUnknown
+	case errors.Is(err, errDifference):
+		return ExitDifference
+	default:
+		return ExitFailed
+	}
+}
+
+const longHelp = `vtctl checks, compares and applies declarations of workspaces, engines,
+services and selectors, drains upstreams and shows the state of the fleet.
+
+Exit codes: 0 done, 1 failed, 2 mistake in the declarations or the command,
+3 conflict with another operator's commit, 4 the commit may have been made,
+5 differences found (diff --exit-code).`
+
+// NewCommand returns the root command.
+func NewCommand(out, errOut io.Writer) *cobra.Command {
+	c := &cli{out: out, errOut: errOut}
+	root := &cobra.Command{
+		Use: "vtctl", Short: "Operate a verbenatrail fleet", Long: longHelp, Version: version(),
+		SilenceErrors: true, SilenceUsage: true, Args: arguments(cobra.NoArgs),
+		RunE:              func(command *cobra.Command, _ []string) error { return command.Help() },
+		PersistentPreRunE: func(command *cobra.Command, _ []string) error { return c.prepare(command) },
+	}
+	root.SetOut(out)
+	root.SetErr(errOut)
+	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return errors.WithMessage(errUsage, err.Error()) })
+	flags := root.PersistentFlags()
+	flags.StringVar(&c.file, "config", os.Getenv("VTCTL_CONFIG"), "settings file, YAML; default from VTCTL_CONFIG")
+	flags.StringVarP(&c.output, "output", "o", outputText, "output form: text, json, or yaml for get all")
+	flags.DurationVar(&c.timeout, "timeout", defaultTimeout, "time limit of the command")
+	flags.StringSlice("key-value", nil, "base URLs of the key-value service")
+	flags.String("author", "", "who commits changes; default the user's name")
+	root.AddCommand(c.checkCommand(), c.diffCommand(), c.applyCommand(), c.getCommand(),
+		c.statusCommand(), c.drainCommand(), c.undrainCommand())
+	return root
+}
+
+func version() string {
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return "unknown"
+	}
+	return info.Main.Version
+}
+
+// prepare reads the settings file and puts the flags over it.
+func (c *cli) prepare(command *cobra.Command) error {
+	if c.output != outputText && c.output != outputJSON && c.output != outputYAML {
+		return errors.WithMessagef(errUsage, "output form %q: use text, json or yaml", c.output)
+	}
+	if c.file != "" {
+		if err := settings.Load(c.file, &c.settings); err != nil {
+			return errors.WithMessage(errUsage, err.Error())
+		}
+	}
+	if endpoints, _ := command.Flags().GetStringSlice("key-value"); len(endpoints) > 0 {
+		c.settings.KeyValue = endpoints
+	}
+	if author, _ := command.Flags().GetString("author"); author != "" {
+		c.settings.Author = author
+	}
+	if c.settings.Author == "" {
+		c.settings.Author = userName()
+	}
+	return nil
+}
+
+func userName() string {
+	current, err := user.Current()
+	if err != nil {
+		return "unknown"
+	}
+	return current.Username
+}
+
+func (c *cli) store() (*etcdjson.Store, error) {
+	if len(c.settings.KeyValue) == 0 {
+		return nil, errors.WithMessage(errUsage, "no key-value service: give --key-value or set key_value in the settings file")
+	}
+	return etcdjson.New(etcdjson.Options{Endpoints: c.settings.KeyValue})
+}
+
+// limit bounds a command's calls.
+func (c *cli) limit(command *cobra.Command) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(command.Context(), c.timeout)
+}
+
+// load returns a reader and the newest declarations.
+func (c *cli) load(ctx context.Context) (*configstore.Reader, *configstore.Copy, error) {
+	store, err := c.store()
+	if err != nil {
+		return nil, nil, err
+	}
+	reader := configstore.NewReader(store)
+	whole, err := reader.LoadAll(ctx)
+	return reader, whole, err
+}
+
+func (c *cli) committer() (*configstore.Committer, error) {
+	store, err := c.store()
+	if err != nil {
+		return nil, err
+	}
+	return configstore.NewCommitter(configstore.CommitterOptions{Store: store, Author: c.settings.Author}), nil
+}
+
+// arguments checks the number of arguments as a mistake of use.
+func arguments(check cobra.PositionalArgs) cobra.PositionalArgs {
+	return func(command *cobra.Command, args []string) error {
+		if err := check(command, args); err != nil {
+			return errors.WithMessage(errUsage, err.Error())
+		}
+		return nil
+	}
+}
--- /dev/null
+++ b/internal/vtctl/vtctl_test.go
@@ -0,0 +1,185 @@
+package vtctl
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/verbenatrail/verbenatrail/internal/standin/kvserver"
+	"github.com/verbenatrail/verbenatrail/internal/status"
+)
+
+const declarations = `
+workspaces:
+  - name: quotes
+    labels: {team: rental}
+engines:
+  - name: balaju-1
+    model: assistant
+  - name: balaju-2
+    model: assistant
+selectors:
+  - name: rental
+    workspaces: {matchLabels: {team: rental}}
+    models: [assistant]
+    upstreams: {}
+`
+
+// operator is a checkout of declarations and a command line.
+type operator struct {
+	t         *testing.T
+	directory string
+	endpoint  string
+	name      string
+}
+
+func startService(t *testing.T) (*kvserver.Server, string) {
+	t.Helper()
+	service := kvserver.New(kvserver.DefaultConfig())
+	server := httptest.NewServer(service)
+	t.Cleanup(service.Close)
+	t.Cleanup(server.Close)
+	return service, server.URL
+}
+
+func newOperator(t *testing.T, name, endpoint, text string) *operator {
+	t.Helper()
+	o := &operator{t: t, directory: t.TempDir(), endpoint: endpoint, name: name}
+	o.write(text)
+	return o
+}
+
+func (o *operator) write(text string) {
+	o.t.Helper()
+	if err := os.WriteFile(filepath.Join(o.directory, "fleet.yaml"), []byte(text), 0o600); err != nil {
+		o.t.Fatal(err)
+	}
+}
+
+// run expects an exit code and returns what was printed.
+func (o *operator) run(code int, arguments ...string) string {
+	o.t.Helper()
+	var out bytes.Buffer
+	arguments = append(arguments, "--key-value", o.endpoint, "--author", o.name)
+	if got := Run(context.Background(), arguments, &out, &out); got != code {
+		o.t.Fatalf("vtctl %s: exit code %d, want %d\n%s", strings.Join(arguments, " "), got, code, out.String())
+	}
+	return out.String()
+}
+
+func expect(t *testing.T, text string, parts ...string) {
+	t.Helper()
+	for _, part := range parts {
+		if !strings.Contains(text, part) {
+			t.Fatalf("missing %q in:\n%s", part, text)
+		}
+	}
+}
+
+func TestCheck(t *testing.T) {
+	o := newOperator(t, "ana", "http://127.0.0.1:1", declarations)
+	expect(t, o.run(ExitDone, "check", o.directory), "ok: 1 workspaces, 2 engines, 0 services, 1 selectors")
+	o.write(strings.Replace(declarations, "model:", "modle:", 1))
+	expect(t, o.run(ExitMistake, "check", o.directory), "fleet.yaml:7:5", `unknown field "modle"`, "use one of")
+	var result checkResult
+	text := o.run(ExitMistake, "check", o.directory, "-o", "json")
+	if err := json.NewDecoder(strings.NewReader(text)).Decode(&result); err != nil || len(result.Mistakes) != 1 || result.Mistakes[0].Position.Line != 7 {
+		t.Fatal(text, err)
+	}
+}
+
+func TestApplyDiffGet(t *testing.T) {
+	_, endpoint := startService(t)
+	o := newOperator(t, "ana", endpoint, declarations)
+	expect(t, o.run(ExitDifference, "diff", o.directory, "--exit-code"), "against revision 0: 4 changes")
+	expect(t, o.run(ExitDone, "apply", o.directory), "committed revision 1: 4 changes")
+	expect(t, o.run(ExitDone, "apply", o.directory), "no change: revision 1")
+	o.write(strings.Replace(declarations, "team: rental", "team: rental, tier: gold", 1))
+	expect(t, o.run(ExitDone, "diff", o.directory), "~ workspace/quotes", `"tier":"gold"`)
+	expect(t, o.run(ExitDone, "apply", o.directory), "committed revision 2: 1 changes")
+	expect(t, o.run(ExitDone, "get", "workspaces"), "revision  2", "quotes", "team=rental,tier=gold")
+	expect(t, o.run(ExitDone, "diff", "--from", "1"), "revision 2 by ana", "workspace/quotes")
+	o.write(o.run(ExitDone, "get", "all", "-o", "yaml"))
+	expect(t, o.run(ExitDone, "apply", o.directory), "no change: revision 2")
+}
+
+func TestRacingOperatorsConflict(t *testing.T) {
+	_, endpoint := startService(t)
+	ana := newOperator(t, "ana", endpoint, declarations)
+	ana.run(ExitDone, "apply", ana.directory)
+	bikash := newOperator(t, "bikash", endpoint, strings.Replace(declarations, "balaju-2", "lalitpur-2", 1))
+	expect(t, bikash.run(ExitMistake, "apply", bikash.directory), "base of the files isn't known", "--base 1")
+	ana.write(declarations + "  - name: extra\n    workspaces: {}\n    models: [assistant]\n    upstreams: {}\n")
+	ana.run(ExitDone, "apply", ana.directory)
+	conflict := bikash.run(ExitConflict, "apply", bikash.directory, "--base", "1")
+	expect(t, conflict, "from revision 1 to 2", "committed by ana", "vtctl diff --from 1", "--base 2")
+	expect(t, bikash.run(ExitDone, "get", "selectors"), "extra")
+	expect(t, bikash.run(ExitDone, "apply", bikash.directory, "--base", "2"), "committed revision 3")
+}
+
+func TestDrainKeepsOtherBasesGood(t *testing.T) {
+	_, endpoint := startService(t)
+	o := newOperator(t, "ana", endpoint, declarations)
+	o.run(ExitDone, "apply", o.directory)
+	expect(t, o.run(ExitMistake, "drain", "nobody"), "no such upstream")
+	expect(t, o.run(ExitDone, "drain", "balaju-2"), "committed revision 2")
+	expect(t, o.run(ExitDone, "drain", "balaju-2"), "no change: revision 2")
+	o.write(strings.Replace(declarations, "team: rental", "team: rental, tier: gold", 1))
+	expect(t, o.run(ExitDone, "apply", o.directory), "committed revision 3: 1 changes")
+	expect(t, o.run(ExitDone, "get", "drains"), "balaju-2")
+	o.write(strings.Replace(declarations, "  - name: balaju-2\n    model: assistant\n", "", 1))
+	o.run(ExitDone, "apply", o.directory)
+	if text := o.run(ExitDone, "get", "drains"); strings.Contains(text, "balaju-2") {
+		t.Fatal(text)
+	}
+	o.run(ExitDone, "drain", "balaju-1")
+	expect(t, o.run(ExitDone, "undrain", "balaju-1"), "committed")
+}
+
+func TestLostReplyAndOutage(t *testing.T) {
+	service, endpoint := startService(t)
+	o := newOperator(t, "ana", endpoint, declarations)
+	service.Faults.Update(func(f *kvserver.Faults) { f.LoseWriteReplies = 1 })
+	expect(t, o.run(ExitDone, "apply", o.directory), "committed revision 1")
+	o.write(strings.Replace(declarations, "team: rental", "team: rental, tier: gold", 1))
+	service.Faults.Update(func(f *kvserver.Faults) { f.Outage = "refuse" })
+	expect(t, o.run(ExitFailed, "apply", o.directory, "--timeout", "300ms"), "unavailable")
+}
+
+func TestStatus(t *testing.T) {
+	reuse := 0.97
+	page := status.Page{Name: "router-1", Kind: "router", ConfigRevision: 7, CacheReuse: &reuse, Upstreams: []status.Upstream{
+		{Name: "a", Pool: "p", State: "live", InFlight: 3}, {Name: "b", Pool: "p", State: "live", InFlight: 1},
+	}}
+	full := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _ = json.NewEncoder(w).Encode(page) }))
+	defer full.Close()
+	sparse := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "{}") }))
+	defer sparse.Close()
+	o := &operator{t: t, endpoint: "http://127.0.0.1:1", name: "ana"}
+	addresses := strings.Join([]string{full.Listener.Addr().String(), sparse.Listener.Addr().String()}, ",")
+	expect(t, o.run(ExitDone, "status", "--routers", addresses), "router-1", "0.970", "1.50")
+	expect(t, o.run(ExitFailed, "status", "--routers", addresses+",127.0.0.1:1"), "1 of 3 daemons gave no status")
+	expect(t, o.run(ExitMistake, "status"), "give --routers")
+}
+
+func TestUsage(t *testing.T) {
+	o := &operator{t: t, endpoint: "http://127.0.0.1:1", name: "ana"}
+	o.run(ExitMistake, "get", "things")
+	o.run(ExitMistake, "diff")
+	o.run(ExitMistake, "check", "--unknown")
+	o.run(ExitFailed, "check", filepath.Join(t.TempDir(), "absent"))
+	o.run(ExitMistake, "nothing")
+	var out bytes.Buffer
+	if code := Run(context.Background(), []string{"--version"}, &out, &out); code != ExitDone {
+		t.Fatal(code)
+	}
+	expect(t, out.String(), "vtctl version")
+	expect(t, o.run(ExitDone, "completion", "bash"), "bash completion")
+}
