--- /dev/null
+++ b/internal/peer/server.go
@@ -0,0 +1,83 @@
+// Package peer carries messages between daemons: protobuf over yamux streams,
+// one stream for each request.
+package peer
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/yamux"
+
+	"github.com/verbenatrail/verbenatrail/internal/peerpb"
+)
+
+// headerTimeout bounds the wait for the first message of a stream.
+const headerTimeout = 5 * time.Second
+
+// Handler serves one stream. The context ends when the stream's session does.
+type Handler interface {
+	ServeStream(ctx context.Context, header *peerpb.StreamHeader, stream *Stream)
+}
+
+// Server accepts sessions from other daemons.
+type Server struct {
+	listener net.Listener
+	handler  Handler
+	sessions sync.WaitGroup
+}
+
+// NewServer returns a server for a listener that it closes.
+func NewServer(listener net.Listener, handler Handler) *Server {
+	return &Server{listener: listener, handler: handler}
+}
+
+// Run accepts sessions until the context ends, and then closes them all.
+func (s *Server) Run(ctx context.Context) error {
+	stop := context.AfterFunc(ctx, func() { _ = s.listener.Close() })
+	defer stop()
+	defer s.sessions.Wait()
+	for {
+		conn, err := s.listener.Accept()
+		if err != nil {
+			if ctx.Err() != nil {
+				return nil
+			}
+			return err
+		}
+		s.sessions.Go(func() { s.serveConn(ctx, conn) })
+	}
+}
+
+func (s *Server) serveConn(ctx context.Context, conn net.Conn) {
+	session, err := yamux.Server(conn, yamuxConfig())
+	if err != nil {
+		_ = conn.Close()
+		return
+	}
+	defer func() { _ = session.Close() }()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stop := context.AfterFunc(ctx, func() { _ = session.Close() })
+	defer stop()
+	var streams sync.WaitGroup
+	defer streams.Wait()
+	for {
+		accepted, err := session.AcceptStream()
+		if err != nil {
+			cancel()
+			return
+		}
+		streams.Go(func() { s.serveStream(ctx, newStream(accepted)) })
+	}
+}
+
+func (s *Server) serveStream(ctx context.Context, stream *Stream) {
+	defer stream.Close()
+	header, err := receiveHeader(stream)
+	if err != nil {
+		return
+	}
+	s.handler.ServeStream(ctx, header, stream)
+}
