--- /dev/null
+++ b/internal/ledger/config.go
@@ -0,0 +1,40 @@
+package ledger
+
+import "time"
+
+// maxPauseDoublings bounds the shift that computes the pause after failures.
+const maxPauseDoublings = 16
+
+// Config are the limits of one slot's ledger.
+type Config struct {
+	// Holder names this daemon in the journal.
+	Holder string
+	// Retention is the age of an action key up to which it may be claimed.
+	Retention time.Duration
+	// ClockAllowance is how far a key's issue time may lie in the future.
+	ClockAllowance time.Duration
+	// CommitInterval is the least time between two appends.
+	CommitInterval time.Duration
+	// OutcomeDelay is the longest time that an outcome waits to share a
+	// segment with claims.
+	OutcomeDelay time.Duration
+	// ClaimWait is the longest time that a request waits for its claim.
+	ClaimWait time.Duration
+	// RetryPause is the pause after the first failed call; it doubles up to
+	// MaxRetryPause.
+	RetryPause    time.Duration
+	MaxRetryPause time.Duration
+	// HoldOff is the pause after another holder took the slot over.
+	HoldOff time.Duration
+	// CompactAfter is the number of segments that are compacted into one.
+	CompactAfter int
+	// SegmentBytes bounds the new records of one segment; a compacted segment
+	// stays below three times as much.
+	SegmentBytes int
+	// MaxActions bounds the actions that are remembered.
+	MaxActions int
+	// BodyBytes is the longest answer body that is recorded.
+	BodyBytes int
+	// ResultBytes bounds the recorded answers kept in memory.
+	ResultBytes int
+}
