Claims: shell that runs actions at most once over the key-value service

One goroutine per slot owns its ledger; calls to the service and dispatches run beside it and post events. An append is one transaction: the head must stand where the holder knows it, the segment must be new, and replaced segments are deleted. The number of slots is stored, and a daemon set to another number refuses actions, as one action would have two journals.

--- a/Makefile
+++ b/Makefile
@@ -2,6 +2,7 @@
 GO ?= go
 TOOL = $(GO) tool -modfile=tools/go.mod
 BIN = bin
+GENERATED = internal/peerpb/peer.pb.go internal/journalpb/journal.pb.go
 
 .PHONY: build test check generate generated-current fmt demo
 
@@ -21,9 +22,9 @@
 	$(TOOL) buf generate
 
 generated-current:
-	@before=$$(sha256sum internal/peerpb/peer.pb.go); $(MAKE) --no-print-directory generate; \
-	after=$$(sha256sum internal/peerpb/peer.pb.go); \
-	if [ "$$before" != "$$after" ]; then echo "internal/peerpb was stale: commit the output of make generate"; exit 1; fi
+	@before=$$(cat $(GENERATED) | sha256sum); $(MAKE) --no-print-directory generate; \
+	after=$$(cat $(GENERATED) | sha256sum); \
+	if [ "$$before" != "$$after" ]; then echo "generated code was stale: commit the output of make generate"; exit 1; fi
 
 fmt:
 	gofmt -w cmd internal test
--- /dev/null
+++ b/internal/claims/claims_test.go
@@ -0,0 +1,305 @@
+package claims
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/pkg/errors"
+
+	"github.com/verbenatrail/verbenatrail/internal/refusal"
+)
+
+func do(c *Claims, key uuid.UUID, dispatch DispatchFunc) (Result, *refusal.Refusal) {
+	return c.Do(context.Background(), Action{Key: key, Workspace: "w", Fingerprint: 1}, dispatch)
+}
+
+func requireOutcome(t *testing.T, r *refusal.Refusal, kind refusal.Kind, outcome refusal.Outcome) {
+	t.Helper()
+	if r == nil || r.Kind != kind || r.Outcome != outcome {
+		t.Fatalf("refusal %v, want %s (%s)", r, kind, outcome)
+	}
+}
+
+func requireRecorded(t *testing.T, key uuid.UUID, result Result, r *refusal.Refusal) {
+	t.Helper()
+	if r != nil || !result.Recorded || result.Status != 201 || string(result.Body) != key.String() {
+		t.Fatalf("got %+v, %v, want the recorded outcome", result, r)
+	}
+}
+
+// pausedDispatch runs the action in two halves: started is closed when the
+// dispatch begins, and the action goes on when proceed is closed.
+type pausedDispatch struct{ started, proceed chan struct{} }
+
+func newPausedDispatch() pausedDispatch {
+	return pausedDispatch{started: make(chan struct{}), proceed: make(chan struct{})}
+}
+
+func (p pausedDispatch) around(dispatch DispatchFunc) DispatchFunc {
+	return func(ctx context.Context) (Result, error) {
+		close(p.started)
+		<-p.proceed
+		return dispatch(ctx)
+	}
+}
+
+// Fails without the journal: a second holder that knows no claims dispatches.
+func TestResendAfterTheAnswer(t *testing.T) {
+	f := newFleet(t)
+	first, _ := f.daemon("first")
+	second, _ := f.daemon("second")
+	key := f.key()
+	if result, r := do(first, key, f.dispatch(key)); r != nil || result.Recorded {
+		t.Fatal(result, r)
+	}
+	result, r := do(first, key, f.dispatch(key))
+	requireRecorded(t, key, result, r)
+	if err := first.Release(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	result, r = do(second, key, f.dispatch(key))
+	requireRecorded(t, key, result, r)
+	_, r = second.Do(context.Background(), Action{Key: key, Workspace: "other", Fingerprint: 1}, f.dispatch(key))
+	requireOutcome(t, r, refusal.ActionKeyReused, refusal.NotRun)
+	f.requireRuns(key, 1)
+}
+
+// Fails without joining at the holder (the resends would dispatch) and without
+// the replayed claim at the other holder. The first holder is then "thawed"
+// mid-dispatch after the take-over: its answer still reaches its callers.
+func TestResendsWhileInFlightAndHolderThawedAfterTakeOver(t *testing.T) {
+	f := newFleet(t)
+	first, link := f.daemon("first")
+	second, _ := f.daemon("second")
+	key := f.key()
+	paused := newPausedDispatch()
+	var joined sync.WaitGroup
+	joined.Add(1)
+	go func() {
+		defer joined.Done()
+		if _, r := do(first, key, paused.around(f.dispatch(key))); r != nil {
+			t.Error(r)
+		}
+	}()
+	<-paused.started
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	_, r := first.Do(ctx, Action{Key: key, Workspace: "w", Fingerprint: 1}, f.dispatch(key))
+	if r == nil {
+		t.Fatal("a caller that gave up got an answer")
+	}
+	gate := make(chan struct{})
+	link.gate.Store(&gate)
+	other := f.key()
+	if _, r := do(second, other, f.dispatch(other)); r != nil {
+		t.Fatal(r)
+	}
+	_, r = do(second, key, f.dispatch(key))
+	requireOutcome(t, r, refusal.ActionUnconfirmed, refusal.Unknown)
+	close(gate)
+	close(paused.proceed)
+	joined.Wait()
+	late := f.key()
+	_, r = do(first, late, f.dispatch(late))
+	requireOutcome(t, r, refusal.ClaimsUnavailable, refusal.NotRun)
+	f.requireRuns(key, 1)
+	f.requireRuns(late, 0)
+}
+
+// Fails without the release of the slot's claims by replay: each resend after
+// the holder's death would dispatch. The holder dies before its claim is
+// written, after it and before the first byte, after the first byte, and after
+// the answer but before the outcome is written.
+func TestHolderKilled(t *testing.T) {
+	cases := []struct {
+		name             string
+		claimed, ran     bool
+		wantKind         refusal.Kind
+		wantRunsAfterAll int
+	}{
+		{name: "before the claim", wantRunsAfterAll: 1},
+		{name: "after the claim, before the first byte", claimed: true, wantKind: refusal.ActionUnconfirmed},
+		{name: "after the first byte", claimed: true, ran: true, wantKind: refusal.ActionUnconfirmed, wantRunsAfterAll: 1},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			f := newFleet(t)
+			first, link := f.daemon("first")
+			second, _ := f.daemon("second")
+			key := f.key()
+			started := make(chan struct{})
+			link.down.Store(!tc.claimed)
+			go do(first, key, func(ctx context.Context) (Result, error) {
+				if tc.ran {
+					f.run(key)
+				}
+				close(started)
+				<-ctx.Done()
+				return Result{}, ctx.Err()
+			})
+			if tc.claimed {
+				<-started
+			}
+			first.cancel()
+			_, r := do(second, key, f.dispatch(key))
+			if tc.wantKind != "" {
+				requireOutcome(t, r, tc.wantKind, refusal.Unknown)
+			} else if r != nil {
+				t.Fatal(r)
+			}
+			f.requireRuns(key, tc.wantRunsAfterAll)
+		})
+	}
+}
+
+// Fails without the read-back: a claim whose reply was lost would be taken for
+// lost, and the action refused, or dispatched without a claim.
+func TestWriteAppliedReplyLost(t *testing.T) {
+	f := newFleet(t)
+	c, link := f.daemon("first")
+	for range 20 {
+		link.loseReply.Store(true)
+		key := f.key()
+		if _, r := do(c, key, f.dispatch(key)); r != nil {
+			t.Fatal(r)
+		}
+		f.requireRuns(key, 1)
+	}
+	if c.counters.readBacks.Count() == 0 {
+		t.Error("no read-back was made")
+	}
+}
+
+// Fails without the compare of the head: both holders would claim. Two daemons
+// are sent the same actions at once, and the slot goes to and fro.
+func TestTwoHolders(t *testing.T) {
+	f := newFleet(t)
+	first, _ := f.daemon("first")
+	second, _ := f.daemon("second")
+	for range 200 {
+		key := f.key()
+		var refusals [4]*refusal.Refusal
+		var all sync.WaitGroup
+		for i := range refusals {
+			holder := first
+			if i%2 == 1 {
+				holder = second
+			}
+			all.Add(1)
+			go func() {
+				defer all.Done()
+				_, refusals[i] = do(holder, key, f.dispatch(key))
+			}()
+		}
+		all.Wait()
+		requireHonest(t, f, key, refusals[:])
+	}
+}
+
+// requireHonest checks that the action ran once when a caller got an answer,
+// and never when all were told that it did not run.
+func requireHonest(t *testing.T, f *fleet, key uuid.UUID, refusals []*refusal.Refusal) {
+	t.Helper()
+	notRun, answered := 0, 0
+	for _, r := range refusals {
+		switch {
+		case r == nil:
+			answered++
+		case r.Outcome == refusal.NotRun:
+			notRun++
+		}
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	runs := f.executions[key]
+	if runs > 1 || answered > 0 && runs != 1 || notRun == len(refusals) && runs != 0 {
+		t.Fatalf("ran %d times: %d answered, %d not run of %d", runs, answered, notRun, len(refusals))
+	}
+}
+
+// Fails without the release of abandoned claims: the resend would be
+// unconfirmed for ever; fails without the wait's end: the request would hang.
+func TestOutageInTheMiddleOfAClaim(t *testing.T) {
+	f := newFleet(t)
+	c, link := f.daemon("first")
+	warm := f.key()
+	if _, r := do(c, warm, f.dispatch(warm)); r != nil {
+		t.Fatal(r)
+	}
+	link.down.Store(true)
+	key := f.key()
+	_, r := do(c, key, f.dispatch(key))
+	requireOutcome(t, r, refusal.ClaimsUnavailable, refusal.NotRun)
+	result, r := do(c, warm, f.dispatch(warm))
+	requireRecorded(t, warm, result, r)
+	f.requireRuns(key, 0)
+	link.down.Store(false)
+	for range 100 {
+		if _, r = do(c, key, f.dispatch(key)); r == nil {
+			break
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	f.requireRuns(key, 1)
+}
+
+// Fails without the age check of keys: once the claim is dropped, the resend
+// would dispatch again.
+func TestRetentionRunOut(t *testing.T) {
+	f := newFleet(t)
+	c, _ := f.daemon("first")
+	key := f.key()
+	if _, r := do(c, key, f.dispatch(key)); r != nil {
+		t.Fatal(r)
+	}
+	f.clock.offset.Store(int64(testSettings().Retention) * 2)
+	for range 20 {
+		later := f.key()
+		if _, r := do(c, later, f.dispatch(later)); r != nil {
+			t.Fatal(r)
+		}
+	}
+	second, _ := f.daemon("second")
+	_, r := do(second, key, f.dispatch(key))
+	requireOutcome(t, r, refusal.ActionKeyExpired, refusal.Unknown)
+	f.requireRuns(key, 1)
+	if left := len(f.store.entries); left > 12 {
+		t.Errorf("%d keys are left in the store: old segments are not removed", left)
+	}
+}
+
+func TestDispatchErrors(t *testing.T) {
+	f := newFleet(t)
+	c, _ := f.daemon("first")
+	key := f.key()
+	_, r := do(c, key, func(context.Context) (Result, error) { return Result{}, errors.WithStack(ErrNotDispatched) })
+	requireOutcome(t, r, refusal.UpstreamFailed, refusal.NotRun)
+	if _, r := do(c, key, f.dispatch(key)); r != nil {
+		t.Fatal(r)
+	}
+	key = f.key()
+	lost := func(context.Context) (Result, error) { f.run(key); return Result{}, errors.New("connection reset") }
+	for range 2 {
+		_, r = do(c, key, lost)
+		requireOutcome(t, r, refusal.ActionUnconfirmed, refusal.Unknown)
+	}
+	f.requireRuns(key, 1)
+}
+
+func TestLayoutThatDiffersIsRefused(t *testing.T) {
+	f := newFleet(t)
+	first, _ := f.daemon("first")
+	key := f.key()
+	if _, r := do(first, key, f.dispatch(key)); r != nil {
+		t.Fatal(r)
+	}
+	second, _ := f.daemon("second")
+	second.layout.slots = 2
+	other := f.key()
+	_, r := do(second, other, f.dispatch(other))
+	requireOutcome(t, r, refusal.ClaimsUnavailable, refusal.NotRun)
+	f.requireRuns(other, 0)
+}
--- /dev/null
+++ b/internal/claims/settings.go
@@ -0,0 +1,110 @@
+package claims
+
+import (
+	"time"
+
+	"github.com/verbenatrail/verbenatrail/internal/ledger"
+	"github.com/verbenatrail/verbenatrail/internal/settings"
+)
+
+// Settings are the limits of claims. All daemons of a fleet must agree on
+// Slots, Retention and ClockAllowance.
+type Settings struct {
+	// Slots is the number of journals. With CommitInterval it bounds the writes
+	// of the whole fleet: at most Slots / CommitInterval per second.
+	Slots int `yaml:"slots" validate:"gte=1,lte=1024"`
+	// CommitInterval is the least time between two appends to one slot.
+	CommitInterval settings.Duration `yaml:"commit_interval" validate:"gt=0"`
+	// OutcomeDelay is the longest time that an outcome waits to share a
+	// segment with claims.
+	OutcomeDelay settings.Duration `yaml:"outcome_delay" validate:"gt=0"`
+	// Retention is the age of an action key up to which resends are answered.
+	Retention settings.Duration `yaml:"retention" validate:"gt=0"`
+	// ClockAllowance is how far a key's issue time may lie in the future.
+	ClockAllowance settings.Duration `yaml:"clock_allowance" validate:"gt=0"`
+	// ClaimWait is the longest time that a request waits for its claim.
+	ClaimWait settings.Duration `yaml:"claim_wait" validate:"gt=0"`
+	// DispatchTimeout bounds a dispatched action, also when its caller has gone.
+	DispatchTimeout settings.Duration `yaml:"dispatch_timeout" validate:"gt=0"`
+	// CallTimeout bounds one call to the key-value service.
+	CallTimeout settings.Duration `yaml:"call_timeout" validate:"gt=0"`
+	// RetryPause is the pause after a failed call; it doubles up to
+	// MaxRetryPause.
+	RetryPause    settings.Duration `yaml:"retry_pause" validate:"gt=0"`
+	MaxRetryPause settings.Duration `yaml:"max_retry_pause" validate:"gt=0"`
+	// HoldOff is the pause after another daemon took a slot over.
+	HoldOff settings.Duration `yaml:"hold_off" validate:"gt=0"`
+	// CompactAfter is the number of segments that are compacted into one.
+	CompactAfter int `yaml:"compact_after" validate:"gte=2"`
+	// SegmentBytes bounds the new records of a segment, a third of the largest
+	// value.
+	SegmentBytes int `yaml:"segment_bytes" validate:"gte=4096,lte=300000"`
+	// MaxActions bounds the actions remembered per slot.
+	MaxActions int `yaml:"max_actions" validate:"gte=1"`
+	// BodyBytes is the longest answer that is recorded.
+	BodyBytes int `yaml:"body_bytes" validate:"gte=0,lte=65536"`
+	// ResultBytes bounds the recorded answers in memory per slot.
+	ResultBytes int `yaml:"result_bytes" validate:"gte=0"`
+}
+
+// Defaults of Settings.
+const (
+	defaultSlots           = 16
+	defaultCommitInterval  = 100 * time.Millisecond
+	defaultOutcomeDelay    = 250 * time.Millisecond
+	defaultRetention       = 15 * time.Minute
+	defaultClockAllowance  = 30 * time.Second
+	defaultClaimWait       = 2 * time.Second
+	defaultDispatchTimeout = time.Minute
+	defaultCallTimeout     = time.Second
+	defaultRetryPause      = 50 * time.Millisecond
+	defaultMaxRetryPause   = 2 * time.Second
+	defaultHoldOff         = time.Second
+	defaultCompactAfter    = 64
+	defaultSegmentBytes    = 256 << 10
+	defaultMaxActions      = 64 << 10
+	defaultBodyBytes       = 2 << 10
+	defaultResultBytes     = 2 << 20
+)
+
+// DefaultSettings returns the settings of a fleet that shares a key-value
+// service of a few hundred writes per second.
+func DefaultSettings() Settings {
+	return Settings{
+		Slots:           defaultSlots,
+		CommitInterval:  settings.Duration(defaultCommitInterval),
+		OutcomeDelay:    settings.Duration(defaultOutcomeDelay),
+		Retention:       settings.Duration(defaultRetention),
+		ClockAllowance:  settings.Duration(defaultClockAllowance),
+		ClaimWait:       settings.Duration(defaultClaimWait),
+		DispatchTimeout: settings.Duration(defaultDispatchTimeout),
+		CallTimeout:     settings.Duration(defaultCallTimeout),
+		RetryPause:      settings.Duration(defaultRetryPause),
+		MaxRetryPause:   settings.Duration(defaultMaxRetryPause),
+		HoldOff:         settings.Duration(defaultHoldOff),
+		CompactAfter:    defaultCompactAfter,
+		SegmentBytes:    defaultSegmentBytes,
+		MaxActions:      defaultMaxActions,
+		BodyBytes:       defaultBodyBytes,
+		ResultBytes:     defaultResultBytes,
+	}
+}
+
+func (s Settings) ledgerConfig(holder string) ledger.Config {
+	return ledger.Config{
+		Holder:         holder,
+		Retention:      s.Retention.Std(),
+		ClockAllowance: s.ClockAllowance.Std(),
+		CommitInterval: s.CommitInterval.Std(),
+		OutcomeDelay:   s.OutcomeDelay.Std(),
+		ClaimWait:      s.ClaimWait.Std(),
+		RetryPause:     s.RetryPause.Std(),
+		MaxRetryPause:  s.MaxRetryPause.Std(),
+		HoldOff:        s.HoldOff.Std(),
+		CompactAfter:   s.CompactAfter,
+		SegmentBytes:   s.SegmentBytes,
+		MaxActions:     s.MaxActions,
+		BodyBytes:      s.BodyBytes,
+		ResultBytes:    s.ResultBytes,
+	}
+}
--- /dev/null
+++ b/internal/claims/worker.go
@@ -0,0 +1,231 @@
+package claims
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/verbenatrail/verbenatrail/internal/ledger"
+	"github.com/verbenatrail/verbenatrail/internal/refusal"
+)
+
+// call is one request in Do.
+type call struct {
+	ctx      context.Context
+	action   Action
+	dispatch DispatchFunc
+	// id is set and read by the worker only.
+	id ledger.RequestID
+	// reply receives exactly one value.
+	reply chan ledger.Reply
+}
+
+func newCall(ctx context.Context, action Action, dispatch DispatchFunc) *call {
+	return &call{ctx: ctx, action: action, dispatch: dispatch, reply: make(chan ledger.Reply, 1)}
+}
+
+// worker is the goroutine that owns the ledger of one slot. It never waits for
+// a call to the service: each runs in a goroutine that posts its event.
+type worker struct {
+	claims  *Claims
+	slot    int
+	journal journalStore
+	ledger  *ledger.Ledger
+	calls   map[ledger.RequestID]*call
+	lastID  ledger.RequestID
+	drains  bool
+
+	arrivals chan *call
+	cancels  chan *call
+	events   chan ledger.Event
+	done     chan struct{}
+}
+
+func newWorker(c *Claims, slot int) *worker {
+	return &worker{
+		claims: c, slot: slot,
+		journal:  newJournalStore(c, slot),
+		ledger:   ledger.New(c.options.Settings.ledgerConfig(c.options.Self)),
+		calls:    make(map[ledger.RequestID]*call),
+		arrivals: make(chan *call), cancels: make(chan *call),
+		events: make(chan ledger.Event), done: make(chan struct{}),
+	}
+}
+
+// do hands a request to the worker and waits for its end.
+func (w *worker) do(c *call) (Result, *refusal.Refusal) {
+	select {
+	case w.arrivals <- c:
+	case <-w.done:
+		return Result{}, leaving()
+	case <-c.ctx.Done():
+		return Result{}, gaveUp()
+	}
+	select {
+	case reply := <-c.reply:
+		return reply.Result, reply.Refusal
+	case <-w.done:
+	case <-c.ctx.Done():
+		w.postCancel(c)
+	}
+	return w.lastReply(c)
+}
+
+// lastReply returns the reply that follows a cancellation or the worker's end.
+func (w *worker) lastReply(c *call) (Result, *refusal.Refusal) {
+	select {
+	case reply := <-c.reply:
+		return reply.Result, reply.Refusal
+	case <-w.done:
+	}
+	select {
+	case reply := <-c.reply:
+		return reply.Result, reply.Refusal
+	default:
+		return Result{}, refusal.NewUnknown(refusal.ActionUnconfirmed,
+			"this daemon stopped before the action's outcome was known: send it again with the same key")
+	}
+}
+
+func (w *worker) postCancel(c *call) {
+	select {
+	case w.cancels <- c:
+	case <-w.done:
+	}
+}
+
+// post hands an event to the worker.
+func (w *worker) post(event ledger.Event) {
+	select {
+	case w.events <- event:
+	case <-w.done:
+	}
+}
+
+func (w *worker) run() {
+	defer close(w.done)
+	for !w.drains || !w.ledger.Idle() {
+		select {
+		case c := <-w.arrivals:
+			w.arrive(c)
+		case c := <-w.cancels:
+			w.step(ledger.Canceled{Request: c.id})
+		case event := <-w.events:
+			w.step(event)
+		case <-w.wake():
+			w.step(ledger.Tick{})
+		case <-w.claims.ctx.Done():
+			return
+		}
+	}
+}
+
+// wake returns a channel that fires when the ledger is due, or nil.
+func (w *worker) wake() <-chan time.Time {
+	at := w.ledger.Wake()
+	if at.IsZero() {
+		return nil
+	}
+	return w.claims.options.Clock.After(at.Sub(w.claims.options.Clock.Now()))
+}
+
+func (w *worker) arrive(c *call) {
+	w.lastID++
+	c.id = w.lastID
+	w.calls[c.id] = c
+	w.step(ledger.Arrived{Request: w.lastID, Key: c.action.Key, Fingerprint: c.action.fingerprint()})
+}
+
+func (w *worker) step(event ledger.Event) {
+	if _, ok := event.(ledger.Drain); ok {
+		w.drains = true
+	}
+	before := w.ledger.Stats().Open
+	effects := w.ledger.Step(w.claims.options.Clock.Now(), event)
+	w.noteChange(before, w.ledger.Stats())
+	for _, effect := range effects {
+		w.carryOut(effect)
+	}
+}
+
+// noteChange logs and counts the take-over and the loss of the slot.
+func (w *worker) noteChange(before bool, stats ledger.Stats) {
+	if before == stats.Open {
+		return
+	}
+	log := w.claims.options.Logger.WithFields(logrus.Fields{"slot": w.slot, "actions": stats.Actions})
+	if stats.Open {
+		w.claims.counters.held.Inc(1)
+		log.Info("claim slot taken over")
+		return
+	}
+	w.claims.counters.held.Dec(1)
+	w.claims.counters.lost.Inc(1)
+	log.Warn("claim slot lost to another daemon")
+}
+
+func (w *worker) carryOut(effect ledger.Effect) {
+	switch e := effect.(type) {
+	case ledger.Load:
+		go func() { w.post(w.journal.load(rand.Uint64())) }()
+	case ledger.Append:
+		go func() { w.post(w.journal.append(e)) }()
+	case ledger.ReadBack:
+		go func() { w.post(w.journal.readBack(e)) }()
+	case ledger.Dispatch:
+		w.dispatch(e)
+	case ledger.Reply:
+		w.calls[e.Request].reply <- e
+		delete(w.calls, e.Request)
+	}
+}
+
+// dispatch runs an action on behalf of a request. The action outlives the
+// request's context.
+func (w *worker) dispatch(d ledger.Dispatch) {
+	c := w.calls[d.Request]
+	w.claims.counters.dispatched.Inc(1)
+	go func() {
+		result, err := runDispatch(c, w.claims.options.Settings.DispatchTimeout.Std())
+		w.post(finished(c, result, err))
+	}()
+}
+
+func runDispatch(c *call, timeout time.Duration) (Result, error) {
+	if c.ctx.Err() != nil {
+		return Result{}, ErrNotDispatched
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(c.ctx), timeout)
+	defer cancel()
+	return c.dispatch(ctx)
+}
+
+// finished maps the end of a dispatch to the ledger's event.
+func finished(c *call, result Result, err error) ledger.Finished {
+	event := ledger.Finished{Key: c.action.Key, Result: result}
+	var given *refusal.Refusal
+	hasRefusal := errors.As(err, &given)
+	switch {
+	case err == nil:
+		event.Kind = ledger.FinishAnswered
+	case hasRefusal && given.Outcome == refusal.NotRun:
+		event.Kind = ledger.FinishNotDispatched
+		event.Refusal = given
+	case errors.Is(err, ErrNotDispatched):
+		event.Kind = ledger.FinishNotDispatched
+		event.Refusal = refusal.New(refusal.UpstreamFailed, err.Error()).WithRetryAfter(time.Second)
+	default:
+		event.Kind = ledger.FinishUnconfirmed
+		event.Refusal = refusal.NewUnknown(refusal.ActionUnconfirmed,
+			"the service gave no whole answer ("+err.Error()+"): look the action up in the service, and use a new key if it is missing there")
+	}
+	return event
+}
+
+func gaveUp() *refusal.Refusal {
+	return refusal.New(refusal.DeadlineExceeded,
+		"the caller gave up before the action was claimed: send it again with the same key")
+}
--- a/internal/ledger/messages.go
+++ b/internal/ledger/messages.go
@@ -55,7 +55,11 @@
 }
 
 // LoadFailed says that the journal can't be read.
-type LoadFailed struct{ RateLimited bool }
+type LoadFailed struct {
+	RateLimited bool
+	// Reason is what requests are told; nil means an outage.
+	Reason *refusal.Refusal
+}
 
 // Committed says that an append was applied, at a revision of the head.
 type Committed struct {
--- a/internal/ledger/replay.go
+++ b/internal/ledger/replay.go
@@ -52,10 +52,14 @@
 	if ev.RateLimited {
 		return
 	}
+	reason := ev.Reason
+	if reason == nil {
+		reason = refusalOutage(l.untilRetry())
+	}
 	arrivals := l.arrivals
 	l.arrivals = nil
 	for _, a := range arrivals {
-		l.refuse(a.Request, refusalOutage(l.untilRetry()))
+		l.refuse(a.Request, reason)
 	}
 }
 
