--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 TOOL = $(GO) tool -modfile=tools/go.mod
 BIN = bin
 
-.PHONY: build test check generate generated-current fmt demo
+.PHONY: build test check generate generated-current fmt demo traces
 
 build:
 	$(GO) build -o $(BIN)/ ./cmd/...
@@ -27,3 +27,7 @@
 
 fmt:
 	gofmt -w cmd internal test
+
+traces: build
+	$(BIN)/vt-replay generate --profile shrestha --seed 1 --out traces/shrestha.jsonl
+	$(BIN)/vt-replay generate --profile litoral --seed 2 --out traces/litoral.jsonl
