--- a/Makefile
+++ b/Makefile
@@ -2,8 +2,9 @@
 GO ?= go
 TOOL = $(GO) tool -modfile=tools/go.mod
 BIN = bin
+GENERATED = internal/peerpb/peer.pb.go internal/journalpb/journal.pb.go
 
-.PHONY: build test check generate generated-current fmt demo
+.PHONY: build test check generate generated-current fmt demo traces
 
 build:
 	$(GO) build -o $(BIN)/ ./cmd/...
@@ -21,9 +22,13 @@
 	$(TOOL) buf generate
 
 generated-current:
-	@before=$$(sha256sum internal/peerpb/peer.pb.go); $(MAKE) --no-print-directory generate; \
-	after=$$(sha256sum internal/peerpb/peer.pb.go); \
-	if [ "$$before" != "$$after" ]; then echo "internal/peerpb was stale: commit the output of make generate"; exit 1; fi
+	@before=$$(cat $(GENERATED) | sha256sum); $(MAKE) --no-print-directory generate; \
+	after=$$(cat $(GENERATED) | sha256sum); \
+	if [ "$$before" != "$$after" ]; then echo "generated code was stale: commit the output of make generate"; exit 1; fi
 
 fmt:
 	gofmt -w cmd internal test
+
+traces: build
+	$(BIN)/vt-replay generate --profile shrestha --seed 1 --out traces/shrestha.jsonl
+	$(BIN)/vt-replay generate --profile litoral --seed 2 --out traces/litoral.jsonl
