--- a/internal/configstore/manager.go
+++ b/internal/configstore/manager.go
@@ -85,13 +85,13 @@
 func newCounters(r metrics.Registry) counters {
 	counter := func(name string) metrics.Counter { return metrics.GetOrRegisterCounter("config."+name, r) }
 	return counters{
-		storeBytes: counter("fetched_from_store_bytes"), peerBytes: counter("fetched_from_peers_bytes"),
-		servedBytes: counter("served_to_peers_bytes"), storeFetches: counter("fetches_from_store_count"),
-		peerFetches: counter("fetches_from_peers_count"), failures: counter("failed_fetches_count"),
-		watchEvents: counter("watch_events_count"), watchRestarts: counter("watch_restarts_count"),
-		silent: counter("silent_watches_count"), applied: counter("applied_revisions_count"),
-		announcements: counter("peer_announcements_count"), announcedDrop: counter("dropped_announcements_count"),
-		revision: metrics.GetOrRegisterGauge("config.revision", r),
+		storeBytes: counter("fetched_from_store.bytes"), peerBytes: counter("fetched_from_peers.bytes"),
+		servedBytes: counter("served_to_peers.bytes"), storeFetches: counter("fetches_from_store.calls"),
+		peerFetches: counter("fetches_from_peers.calls"), failures: counter("failed_fetches.calls"),
+		watchEvents: counter("watch.events"), watchRestarts: counter("watch_restarts.events"),
+		silent: counter("silent_watches.events"), applied: counter("applied.revisions"),
+		announcements: counter("peer_announcements.messages"), announcedDrop: counter("dropped_announcements.messages"),
+		revision: metrics.GetOrRegisterGauge("config.revision.number", r),
 	}
 }
 
--- /dev/null
+++ b/internal/steward/engines.go
@@ -0,0 +1,79 @@
+package steward
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/dghubble/sling"
+	"github.com/pkg/errors"
+
+	"github.com/verbenatrail/verbenatrail/internal/engineapi"
+	"github.com/verbenatrail/verbenatrail/internal/hostlist"
+	"github.com/verbenatrail/verbenatrail/internal/orders"
+)
+
+// readState asks an engine for its state and returns the event for it.
+func (s *Steward) readState(ctx context.Context, engine, address string) orders.Event {
+	var state engineapi.OrderState
+	request := sling.New().Get("http://" + address + engineapi.PathOrders)
+	status, err := s.do(ctx, request, &state)
+	if err != nil || status != http.StatusOK {
+		s.counters.failedReads.Inc(1)
+		return orders.Failed{Engine: engine}
+	}
+	s.counters.reads.Inc(1)
+	return orders.Answered{Engine: engine, State: state}
+}
+
+// sendOrder gives an engine an order and returns the event for its answer.
+func (s *Steward) sendOrder(ctx context.Context, send orders.Send, address string) orders.Event {
+	ctx, cancel := context.WithDeadline(ctx, send.Until)
+	defer cancel()
+	var state engineapi.OrderState
+	request := sling.New().Post("http://" + address + engineapi.PathOrders).BodyJSON(send.Order)
+	status, err := s.do(ctx, request, &state)
+	switch {
+	case err == nil && status == http.StatusOK:
+		s.counters.orders.Inc(1)
+		return orders.Answered{Engine: send.Engine, State: state}
+	case err == nil && status == http.StatusConflict:
+		s.counters.refusedOrders.Inc(1)
+		return orders.Refused{Engine: send.Engine, State: state}
+	default:
+		s.counters.failedOrders.Inc(1)
+		return orders.Failed{Engine: send.Engine}
+	}
+}
+
+// do sends a request and decodes the body of any answer.
+func (s *Steward) do(ctx context.Context, request *sling.Sling, out any) (status int, err error) {
+	httpRequest, err := request.Request()
+	if err != nil {
+		return 0, errors.Wrap(err, "engine address")
+	}
+	response, err := request.Client(s.options.Client).Do(httpRequest.WithContext(ctx), out, out)
+	if err != nil {
+		return 0, err
+	}
+	return response.StatusCode, nil
+}
+
+// liveEngines returns the addresses of the engines that the platform lists as
+// live, by name.
+func (s *Steward) liveEngines(ctx context.Context) (map[string]string, error) {
+	var list hostlist.List
+	status, err := s.do(ctx, sling.New().Get(s.options.HostList+hostlist.Path), &list)
+	if err != nil {
+		return nil, err
+	}
+	if status != http.StatusOK {
+		return nil, errors.Errorf("host list answered with status %d", status)
+	}
+	addresses := make(map[string]string)
+	for _, host := range list.Hosts {
+		if host.Kind == hostlist.KindEngine && host.State == hostlist.StateLive {
+			addresses[host.Name] = host.Address
+		}
+	}
+	return addresses, nil
+}
