--- /dev/null
+++ b/internal/cluster/wire.go
@@ -0,0 +1,103 @@
+package cluster
+
+import (
+	"google.golang.org/protobuf/proto"
+
+	"github.com/verbenatrail/verbenatrail/internal/averaging"
+	"github.com/verbenatrail/verbenatrail/internal/membership"
+	"github.com/verbenatrail/verbenatrail/internal/peerpb"
+)
+
+// maxDatagram is the most bytes of a datagram, below the usual path MTU.
+const maxDatagram = 1200
+
+// maxNews is the most pieces of news in a datagram.
+const maxNews = 8
+
+func averagesToProto(m averaging.Message) *peerpb.Averages {
+	out := &peerpb.Averages{Epoch: m.Epoch}
+	for _, l := range m.Pools {
+		out.Pools = append(out.Pools, &peerpb.PoolAverage{Pool: l.Pool, InFlight: float32(l.InFlight)})
+	}
+	return out
+}
+
+func averagesFromProto(p *peerpb.Averages) averaging.Message {
+	m := averaging.Message{Epoch: p.GetEpoch()}
+	for _, l := range p.GetPools() {
+		m.Pools = append(m.Pools, averaging.PoolLoad{Pool: l.GetPool(), InFlight: float64(l.GetInFlight())})
+	}
+	return m
+}
+
+// addNews appends a piece of news to a datagram unless it would grow too
+// large; false then.
+func addNews(d *peerpb.Datagram, n membership.News) bool {
+	before := proto.Size(d)
+	if n.Upstream {
+		d.UpstreamStates = append(d.UpstreamStates, &peerpb.UpstreamState{
+			Upstream: n.Host, Condition: conditionToProto(n.Condition), Version: n.Version,
+		})
+	} else {
+		d.HostStates = append(d.HostStates, &peerpb.HostState{
+			Host: n.Host, Condition: conditionToProto(n.Condition), Incarnation: n.Incarnation,
+		})
+	}
+	if proto.Size(d) <= maxDatagram {
+		return true
+	}
+	dropLastNews(d, n)
+	return before > maxDatagram
+}
+
+func dropLastNews(d *peerpb.Datagram, n membership.News) {
+	if n.Upstream {
+		d.UpstreamStates = d.UpstreamStates[:len(d.UpstreamStates)-1]
+		return
+	}
+	d.HostStates = d.HostStates[:len(d.HostStates)-1]
+}
+
+// newsOf returns the news in a datagram.
+func newsOf(d *peerpb.Datagram) []membership.News {
+	var out []membership.News
+	for _, s := range d.GetHostStates() {
+		if c, ok := conditionFromProto(s.GetCondition()); ok {
+			out = append(out, membership.News{Host: s.GetHost(), Condition: c, Incarnation: s.GetIncarnation()})
+		}
+	}
+	for _, s := range d.GetUpstreamStates() {
+		if c, ok := conditionFromProto(s.GetCondition()); ok {
+			out = append(out, membership.News{Host: s.GetUpstream(), Upstream: true, Condition: c, Version: s.GetVersion()})
+		}
+	}
+	return out
+}
+
+func conditionToProto(c membership.Condition) peerpb.HostCondition {
+	switch c {
+	case membership.Alive:
+		return peerpb.HostCondition_HOST_CONDITION_ALIVE
+	case membership.Suspect:
+		return peerpb.HostCondition_HOST_CONDITION_SUSPECT
+	case membership.Leaving:
+		return peerpb.HostCondition_HOST_CONDITION_LEAVING
+	default:
+		return peerpb.HostCondition_HOST_CONDITION_FAILED
+	}
+}
+
+func conditionFromProto(c peerpb.HostCondition) (membership.Condition, bool) {
+	switch c {
+	case peerpb.HostCondition_HOST_CONDITION_ALIVE:
+		return membership.Alive, true
+	case peerpb.HostCondition_HOST_CONDITION_SUSPECT:
+		return membership.Suspect, true
+	case peerpb.HostCondition_HOST_CONDITION_LEAVING:
+		return membership.Leaving, true
+	case peerpb.HostCondition_HOST_CONDITION_FAILED:
+		return membership.Failed, true
+	default:
+		return membership.Failed, false
+	}
+}
