--- a/internal/vtctl/status.go
+++ b/internal/vtctl/status.go
@@ -1,19 +1,23 @@
 package vtctl
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"sort"
 	"strconv"
-	"sync"
+	"time"
 
 	"github.com/dghubble/sling"
 	"github.com/pkg/errors"
 	"github.com/spf13/cobra"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/verbenatrail/verbenatrail/internal/configstore"
+	"github.com/verbenatrail/verbenatrail/internal/declare"
 	"github.com/verbenatrail/verbenatrail/internal/hostlist"
 	"github.com/verbenatrail/verbenatrail/internal/status"
 )
@@ -21,13 +25,16 @@
 // maxStatusCalls bounds the pages that are asked for at once.
 const maxStatusCalls = 32
 
+const defaultSample = time.Second
+
 // statusResult is the JSON output of status.
 type statusResult struct {
 	// Newest is the newest revision in the key-value service, absent when the
 	// service wasn't asked or didn't answer.
 	Newest  *uint64        `json:"newest_revision,omitempty"`
 	Daemons []daemonStatus `json:"daemons"`
-	Pools   []status.Load  `json:"pools,omitempty"`
+	// Pools are absent when the key-value service didn't give the declarations.
+	Pools []status.PoolLoad `json:"pools,omitempty"`
 }
 
 type daemonStatus struct {
@@ -35,12 +42,17 @@
 	// Error says why there is no page.
 	Error string       `json:"error,omitempty"`
 	Page  *status.Page `json:"page,omitempty"`
+	// CacheReuse is cached over all prompt tokens since the daemon's start.
+	CacheReuse *float64 `json:"cache_reuse,omitempty"`
+	// ControlBytesPerSecond is taken over the sample interval.
+	ControlBytesPerSecond *float64 `json:"control_bytes_per_second,omitempty"`
 }
 
 func (c *cli) statusCommand() *cobra.Command {
 	var routers []string
 	var hostList string
 	var adminPort int
+	var sample time.Duration
 	command := &cobra.Command{
 		Use: "status", Short: "Show revision, load, reuse and control bytes of each daemon",
 		Args: arguments(cobra.NoArgs), Example: "  vtctl status --routers 127.0.0.1:9101,127.0.0.1:9102",
@@ -48,11 +60,12 @@
 	command.Flags().StringSliceVar(&routers, "routers", nil, "admin addresses of daemons")
 	command.Flags().StringVar(&hostList, "host-list", "", "base URL of the host list, asked when --routers isn't given")
 	command.Flags().IntVar(&adminPort, "admin-port", 0, "port of admin pages on the hosts of the list")
+	command.Flags().DurationVar(&sample, "sample", defaultSample, "time over which control bytes are counted")
 	command.RunE = func(command *cobra.Command, _ []string) error {
 		ctx, cancel := c.limit(command)
 		defer cancel()
 		c.overrideStatus(routers, hostList, adminPort)
-		return c.status(ctx)
+		return c.status(ctx, sample)
 	}
 	return command
 }
@@ -69,13 +82,17 @@
 	}
 }
 
-func (c *cli) status(ctx context.Context) error {
+func (c *cli) status(ctx context.Context, sample time.Duration) error {
 	addresses, err := c.adminAddresses(ctx)
 	if err != nil {
 		return err
 	}
-	result := statusResult{Newest: c.newestRevision(ctx), Daemons: askAll(ctx, addresses)}
-	result.Pools = status.Loads(result.pages())
+	result := statusResult{Daemons: askAll(ctx, addresses, sample)}
+	if current := c.declarations(ctx); current != nil {
+		result.Newest = &current.Revision
+		snapshot := declare.CompileChecked(current.Declarations, current.Revision)
+		result.Pools = status.PoolLoads(result.pages(), snapshot)
+	}
 	if err := c.print(result, result.text); err != nil {
 		return err
 	}
@@ -106,44 +123,64 @@
 	return addresses, nil
 }
 
-// newestRevision returns nil when the service can't be asked.
-func (c *cli) newestRevision(ctx context.Context) *uint64 {
+// declarations returns nil when the key-value service can't be asked.
+func (c *cli) declarations(ctx context.Context) *configstore.Copy {
 	if len(c.settings.KeyValue) == 0 {
 		return nil
 	}
-	store, err := c.store()
-	if err != nil {
-		return nil
-	}
-	head, err := configstore.NewReader(store).Head(ctx)
+	_, current, err := c.load(ctx)
 	if err != nil {
-		fmt.Fprintf(c.errOut, "vtctl: newest revision not known: %v\n", err)
+		fmt.Fprintf(c.errOut, "vtctl: newest revision and pools not known: %v\n", err)
 		return nil
 	}
-	return &head.Revision
+	return current
 }
 
-func askAll(ctx context.Context, addresses []string) []daemonStatus {
+func askAll(ctx context.Context, addresses []string, sample time.Duration) []daemonStatus {
 	out := make([]daemonStatus, len(addresses))
-	slots := make(chan struct{}, maxStatusCalls)
-	var group sync.WaitGroup
+	var group errgroup.Group
+	group.SetLimit(maxStatusCalls)
 	for i, address := range addresses {
-		slots <- struct{}{}
-		group.Go(func() {
-			defer func() { <-slots }()
-			out[i] = ask(ctx, address)
+		group.Go(func() error {
+			out[i] = ask(ctx, address, sample)
+			return nil
 		})
 	}
-	group.Wait()
+	_ = group.Wait()
 	return out
 }
 
-func ask(ctx context.Context, address string) daemonStatus {
+func ask(ctx context.Context, address string, sample time.Duration) daemonStatus {
 	var page status.Page
 	if err := getJSON(ctx, "http://"+address+status.Path, &page); err != nil {
 		return daemonStatus{Address: address, Error: err.Error()}
 	}
-	return daemonStatus{Address: address, Page: &page}
+	d := daemonStatus{Address: address, Page: &page}
+	d.readMetrics(ctx, sample)
+	return d
+}
+
+// readMetrics fills in what two readings of the counters tell.
+func (d *daemonStatus) readMetrics(ctx context.Context, sample time.Duration) {
+	var before, after status.Metrics
+	url := "http://" + d.Address + status.MetricsPath
+	if getJSON(ctx, url, &before) != nil || sample <= 0 {
+		return
+	}
+	started := time.Now()
+	select {
+	case <-time.After(sample):
+	case <-ctx.Done():
+		return
+	}
+	if getJSON(ctx, url, &after) != nil {
+		return
+	}
+	rate := (after.ControlBytes() - before.ControlBytes()) / time.Since(started).Seconds()
+	d.ControlBytesPerSecond = &rate
+	if reuse, ok := after.CacheReuse(); ok {
+		d.CacheReuse = &reuse
+	}
 }
 
 func getJSON(ctx context.Context, url string, out any) error {
@@ -175,31 +212,33 @@
 	if r.Newest != nil {
 		fmt.Fprintf(out, "newest revision: %d\n", *r.Newest)
 	}
-	rows := [][]string{{"DAEMON", "KIND", "ADDRESS", "REVISION", "OWNED", "IN FLIGHT", "WAITING", "REUSE", "CONTROL B/S"}}
+	rows := [][]string{{"DAEMON", "ADDRESS", "DOMAIN", "REVISION", "OWNED", "IN FLIGHT", "QUEUED", "REUSE", "CONTROL B/S"}}
 	for _, daemon := range r.Daemons {
 		rows = append(rows, daemon.row())
 	}
 	table(out, rows)
 	if len(r.Pools) > 0 {
+		fmt.Fprintln(out)
 		table(out, r.poolRows())
 	}
 	if upstreams := r.upstreamRows(); len(upstreams) > 1 {
+		fmt.Fprintln(out)
 		table(out, upstreams)
 	}
 }
 
 func (d daemonStatus) row() []string {
 	if d.Page == nil {
-		return []string{"-", "-", d.Address, "-", "-", "-", "-", "-", d.Error}
+		return []string{"-", d.Address, "-", "-", "-", "-", "-", "-", d.Error}
 	}
-	inFlight, waiting := 0, 0
-	for _, u := range d.Page.Upstreams {
-		inFlight += u.InFlight
-		waiting += u.Waiting
+	inFlight, queued := 0, 0
+	for _, load := range d.Page.Loads {
+		inFlight += load.InFlight
+		queued += load.Queued
 	}
 	return []string{
-		d.Page.Name, d.Page.Kind, d.Address, strconv.FormatUint(d.Page.ConfigRevision, 10), strconv.Itoa(len(d.Page.Upstreams)),
-		strconv.Itoa(inFlight), strconv.Itoa(waiting), floatText(d.Page.CacheReuse, 3), floatText(d.Page.ControlBytesPerSecond, 0),
+		d.Page.Name, d.Address, d.Page.FailureDomain, strconv.FormatUint(d.Page.ConfigRevision, 10), strconv.Itoa(len(d.Page.Loads)),
+		strconv.Itoa(inFlight), strconv.Itoa(queued), floatText(d.CacheReuse, 3), floatText(d.ControlBytesPerSecond, 0),
 	}
 }
 
@@ -211,15 +250,21 @@
 	return rows
 }
 
+// upstreamRows shows each upstream that an owner has served.
 func (r statusResult) upstreamRows() [][]string {
-	rows := [][]string{{"UPSTREAM", "POOL", "STATE", "IN FLIGHT", "WAITING", "BOUND", "OWNER"}}
+	rows := [][]string{{"UPSTREAM", "IN FLIGHT", "QUEUED", "LIMIT", "OWNER", "STATE THERE"}}
 	for _, page := range r.pages() {
+		states := make(map[string]string, len(page.Upstreams))
 		for _, u := range page.Upstreams {
+			states[u.Name] = u.State
+		}
+		for _, load := range page.Loads {
 			rows = append(rows, []string{
-				u.Name, u.Pool, u.State, strconv.Itoa(u.InFlight), strconv.Itoa(u.Waiting), capacityText(u.Bound), page.Name,
+				load.Upstream, strconv.Itoa(load.InFlight), strconv.Itoa(load.Queued), strconv.Itoa(load.Limit), page.Name, cmp.Or(states[load.Upstream], "-"),
 			})
 		}
 	}
+	sort.SliceStable(rows[1:], func(i, j int) bool { return rows[i+1][0] < rows[j+1][0] })
 	return rows
 }
 
--- a/internal/vtctl/vtctl_test.go
+++ b/internal/vtctl/vtctl_test.go
@@ -154,18 +154,28 @@
 }
 
 func TestStatus(t *testing.T) {
-	reuse := 0.97
-	page := status.Page{Name: "router-1", Kind: "router", ConfigRevision: 7, CacheReuse: &reuse, Upstreams: []status.Upstream{
-		{Name: "a", Pool: "p", State: "live", InFlight: 3}, {Name: "b", Pool: "p", State: "live", InFlight: 1},
-	}}
-	full := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _ = json.NewEncoder(w).Encode(page) }))
+	_, endpoint := startService(t)
+	o := newOperator(t, "ana", endpoint, declarations)
+	o.run(ExitDone, "apply", o.directory)
+	pages := http.NewServeMux()
+	pages.HandleFunc(status.Path, func(w http.ResponseWriter, _ *http.Request) {
+		_ = json.NewEncoder(w).Encode(status.Page{
+			Name: "router-1", ConfigRevision: 7,
+			Upstreams: []status.Upstream{{Name: "balaju-1", State: "alive"}, {Name: "balaju-2", State: "alive"}},
+			Loads:     []status.Load{{Upstream: "balaju-1", InFlight: 3}, {Upstream: "balaju-2", InFlight: 1, Queued: 4}},
+		})
+	})
+	pages.HandleFunc(status.MetricsPath, func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, `{"owner.prompt.tokens":{"count":200},"owner.cached_prompt.tokens":{"count":194},"a.timer":{"mean":1.5}}`)
+	})
+	full := httptest.NewServer(pages)
 	defer full.Close()
 	sparse := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "{}") }))
 	defer sparse.Close()
-	o := &operator{t: t, endpoint: "http://127.0.0.1:1", name: "ana"}
 	addresses := strings.Join([]string{full.Listener.Addr().String(), sparse.Listener.Addr().String()}, ",")
-	expect(t, o.run(ExitDone, "status", "--routers", addresses), "router-1", "0.970", "1.50")
-	expect(t, o.run(ExitFailed, "status", "--routers", addresses+",127.0.0.1:1"), "1 of 3 daemons gave no status")
+	text := o.run(ExitDone, "status", "--sample", "1ms", "--routers", addresses)
+	expect(t, text, "newest revision: 1", "router-1", "0.970", "assistant/rental  2          2.00            1.50", "balaju-2")
+	expect(t, o.run(ExitFailed, "status", "--sample", "0", "--routers", addresses+",127.0.0.1:1"), "1 of 3 daemons gave no status")
 	expect(t, o.run(ExitMistake, "status"), "give --routers")
 }
 
