--- /dev/null
+++ b/internal/actions/holder.go
@@ -0,0 +1,87 @@
+package actions
+
+import (
+	"context"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/pkg/errors"
+
+	"github.com/verbenatrail/verbenatrail/internal/claims"
+	"github.com/verbenatrail/verbenatrail/internal/cluster"
+	"github.com/verbenatrail/verbenatrail/internal/fleet"
+	"github.com/verbenatrail/verbenatrail/internal/membership"
+	"github.com/verbenatrail/verbenatrail/internal/peerpb"
+	"github.com/verbenatrail/verbenatrail/internal/refusal"
+	"github.com/verbenatrail/verbenatrail/internal/relay"
+	"github.com/verbenatrail/verbenatrail/internal/serviceclient"
+)
+
+// Holder runs the actions of the claim slots that this router holds.
+type Holder struct {
+	Claims   *claims.Claims
+	Planner  *relay.Planner
+	View     func() *cluster.View
+	Services *serviceclient.Client
+	Report   func(upstream string, result membership.ConnResult)
+	// Timeout bounds one call to an instance.
+	Timeout time.Duration
+}
+
+// ServeAction implements forward.ActionServer.
+func (h *Holder) ServeAction(ctx context.Context, request *peerpb.ActionRequest) (*peerpb.ActionResult, *refusal.Refusal) {
+	key, err := uuid.Parse(request.GetActionKey())
+	if err != nil {
+		return nil, refusal.New(refusal.ActionKeyInvalid, "the action key is no UUID: make a new one")
+	}
+	plan, refused := h.Planner.Plan(request.GetWorkspace(), request.GetCall().GetService(), key.String(), fleet.KindService)
+	if refused != nil {
+		return nil, refused
+	}
+	action := claims.Action{Key: key, Workspace: request.GetWorkspace(), Fingerprint: callFingerprint(request)}
+	result, refused := h.Claims.Do(ctx, action, func(ctx context.Context) (claims.Result, error) {
+		return h.dispatch(ctx, plan, request.GetCall())
+	})
+	if refused != nil {
+		return nil, refused
+	}
+	return &peerpb.ActionResult{
+		Status: uint32(result.Status), Headers: result.Headers, Body: result.Body,
+		Replayed: result.Recorded, BodyOmitted: result.BodyOmitted,
+	}, nil
+}
+
+// dispatch sends the call to the first instance that a connection can be made
+// to. Once connected, no other instance is tried.
+func (h *Holder) dispatch(ctx context.Context, plan relay.Plan, call *peerpb.ServiceCall) (claims.Result, error) {
+	ctx, cancel := context.WithTimeout(ctx, h.Timeout)
+	defer cancel()
+	for _, name := range plan.Ranked {
+		address, ok := h.address(name)
+		if !ok {
+			continue
+		}
+		response, err := h.Services.DoOnce(ctx, address, call)
+		if errors.Is(err, serviceclient.ErrNotSent) {
+			h.Report(name, membership.ConnRefused)
+			continue
+		}
+		if err != nil {
+			return claims.Result{}, err
+		}
+		return claims.Result{Status: response.Status, Headers: response.Headers, Body: response.Body}, nil
+	}
+	return claims.Result{}, claims.ErrNotDispatched
+}
+
+func (h *Holder) address(upstream string) (string, bool) {
+	state, known := h.View().Upstreams[upstream]
+	return state.Address, known && state.State == cluster.Live
+}
+
+// callFingerprint identifies the content of an action, to tell a resend from
+// another action under the same key.
+func callFingerprint(request *peerpb.ActionRequest) uint64 {
+	call := request.GetCall()
+	return relay.Fingerprint(request.GetWorkspace(), call.GetService(), call.GetMethod(), call.GetPath(), string(call.GetBody()))
+}
--- /dev/null
+++ b/internal/daemon/node.go
@@ -0,0 +1,186 @@
+package daemon
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/verbenatrail/verbenatrail/internal/cluster"
+	"github.com/verbenatrail/verbenatrail/internal/configstore"
+	"github.com/verbenatrail/verbenatrail/internal/hostlist"
+	"github.com/verbenatrail/verbenatrail/internal/kv"
+	"github.com/verbenatrail/verbenatrail/internal/kv/etcdjson"
+	"github.com/verbenatrail/verbenatrail/internal/peer"
+	"github.com/verbenatrail/verbenatrail/internal/peerpb"
+	"github.com/verbenatrail/verbenatrail/internal/placement"
+	"github.com/verbenatrail/verbenatrail/internal/relay"
+	"github.com/verbenatrail/verbenatrail/internal/rollout"
+	"github.com/verbenatrail/verbenatrail/internal/telemetry"
+)
+
+const (
+	// poolSweep is the time between two looks for idle sessions.
+	poolSweep = 30 * time.Second
+	// configFetchTimeout bounds the wait for a peer's configuration.
+	configFetchTimeout = 5 * time.Second
+	// closeTimeout bounds the end of servers and exporters.
+	closeTimeout = 3 * time.Second
+)
+
+// node is what routers and directories have in common: the view of the fleet,
+// the configuration, sessions to peers, and the admin page.
+type node struct {
+	common   Common
+	logger   *logrus.Logger
+	registry metrics.Registry
+	store    kv.Store
+	cluster  *cluster.Manager
+	config   *configstore.Manager
+	pool     *peer.Pool
+	planner  *relay.Planner
+	// loads and strikes are set by a router before it runs.
+	loads   func() map[uint32]int
+	strikes func(*peerpb.Strike)
+}
+
+func newNode(common Common, kind hostlist.Kind, logger *logrus.Logger) (*node, error) {
+	strategy, err := placement.ByName(common.Strategy)
+	if err != nil {
+		return nil, errors.Wrap(err, "placement")
+	}
+	store, err := etcdjson.New(etcdjson.Options{Endpoints: common.Platform.KeyValue})
+	if err != nil {
+		return nil, errors.Wrap(err, "platform.key_value")
+	}
+	n := &node{
+		common: common, logger: logger, registry: metrics.NewRegistry(), store: store, pool: peer.NewPool(),
+		loads: func() map[uint32]int { return nil }, strikes: func(*peerpb.Strike) {},
+	}
+	if n.cluster, err = n.newCluster(kind); err != nil {
+		return nil, err
+	}
+	n.config = n.newConfig()
+	n.planner = relay.NewPlanner(n.config.Snapshot, n.cluster.View, n.drained, strategy)
+	return n, nil
+}
+
+func (n *node) newCluster(kind hostlist.Kind) (*cluster.Manager, error) {
+	return cluster.New(cluster.Options{
+		Self:           n.common.host(kind),
+		HostListURL:    n.common.Platform.HostList,
+		Settings:       n.common.Cluster,
+		LoadSource:     func() map[uint32]int { return n.loads() },
+		OnStrike:       func(strike *peerpb.Strike) { n.strikes(strike) },
+		OnPeerRevision: func(address string, revision uint64) { n.config.PeerAnnounced(address, revision) },
+		Registry:       n.registry,
+		Logger:         n.logger,
+	})
+}
+
+func (n *node) newConfig() *configstore.Manager {
+	return configstore.New(configstore.Options{
+		Store: n.store, PeerFetch: n.fetchConfig, IsWatcher: n.isWatcher,
+		Registry: n.registry, Logger: n.logger,
+	})
+}
+
+func (n *node) drained(upstream string) bool { return n.config.Drained().Has(upstream) }
+
+// isWatcher reports whether this process is among those of its failure domain
+// that watch the key-value service.
+func (n *node) isWatcher() bool {
+	view := n.cluster.View()
+	members := make([]rollout.Member, 0, len(view.Routers))
+	for _, router := range view.Routers {
+		members = append(members, rollout.Member{Name: router.Name, FailureDomain: router.FailureDomain})
+	}
+	self := rollout.Member{Name: n.common.Name, FailureDomain: n.common.FailureDomain}
+	return rollout.IsWatcher(self, members, n.common.ConfigWatchers)
+}
+
+// fetchConfig asks a peer for the changes after a revision.
+func (n *node) fetchConfig(ctx context.Context, address string, have uint64) (*peerpb.ConfigResponse, error) {
+	request := &peerpb.ConfigRequest{HaveRevision: have}
+	header := &peerpb.StreamHeader{Request: &peerpb.StreamHeader_Config{Config: request}}
+	stream, err := n.pool.Open(ctx, address, header)
+	if err != nil {
+		return nil, err
+	}
+	defer stream.Close()
+	response := &peerpb.ConfigResponse{}
+	if err := stream.Receive(response, configFetchTimeout); err != nil {
+		n.pool.Discard(address)
+		return nil, err
+	}
+	return response, nil
+}
+
+// start runs the parts that every process has.
+func (n *node) start(ctx context.Context, group *errgroup.Group) {
+	group.Go(func() error { return n.cluster.Run(ctx) })
+	group.Go(func() error { return n.config.Run(ctx) })
+	group.Go(func() error { return n.announceRevision(ctx) })
+	group.Go(func() error { return n.sweepPool(ctx) })
+}
+
+// revisionPoll is the time between two looks at the revision in force.
+const revisionPoll = 50 * time.Millisecond
+
+// announceRevision tells peers which revision is in force here.
+func (n *node) announceRevision(ctx context.Context) error {
+	ticker := time.NewTicker(revisionPoll)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			n.cluster.SetConfigRevision(n.config.Revision())
+		}
+	}
+}
+
+func (n *node) sweepPool(ctx context.Context) error {
+	ticker := time.NewTicker(poolSweep)
+	defer ticker.Stop()
+	defer n.pool.Close()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case now := <-ticker.C:
+			n.pool.CloseIdle(now)
+		}
+	}
+}
+
+// serveHTTP serves until the context ends, and then closes at once.
+func serveHTTP(ctx context.Context, listener net.Listener, handler http.Handler) error {
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: closeTimeout}
+	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
+	defer stop()
+	err := server.Serve(listener)
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
+
+// adminHandler serves metrics, status and readiness.
+func (n *node) adminHandler(status func() any, ready func() bool) http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", telemetry.MetricsHandler(n.registry))
+	mux.HandleFunc("GET /status", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, status()) })
+	mux.HandleFunc("GET /ready", func(w http.ResponseWriter, _ *http.Request) {
+		if !ready() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	return mux
+}
--- /dev/null
+++ b/internal/daemon/router.go
@@ -0,0 +1,158 @@
+package daemon
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/verbenatrail/verbenatrail/internal/actions"
+	"github.com/verbenatrail/verbenatrail/internal/claims"
+	"github.com/verbenatrail/verbenatrail/internal/engineclient"
+	"github.com/verbenatrail/verbenatrail/internal/forward"
+	"github.com/verbenatrail/verbenatrail/internal/hostlist"
+	"github.com/verbenatrail/verbenatrail/internal/owner"
+	"github.com/verbenatrail/verbenatrail/internal/peer"
+	"github.com/verbenatrail/verbenatrail/internal/relay"
+	"github.com/verbenatrail/verbenatrail/internal/router"
+	"github.com/verbenatrail/verbenatrail/internal/serviceclient"
+)
+
+// Router is one vt-router process.
+type Router struct {
+	*node
+	settings RouterSettings
+	owner    *owner.Owner
+	claims   *claims.Claims
+	callers  *router.Server
+	handler  *forward.Handler
+	leaving  atomic.Bool
+}
+
+// NewRouter assembles a router; Run starts it.
+func NewRouter(s RouterSettings, logger *logrus.Logger) (*Router, error) {
+	n, err := newNode(s.Common, hostlist.KindRouter, logger)
+	if err != nil {
+		return nil, err
+	}
+	r := &Router{node: n, settings: s}
+	services := serviceclient.New(s.Callers.MaxResponseBytes)
+	guard := newCrashGuard(s.Containment, n.cluster.PublishStrike)
+	r.owner = owner.New(owner.Options{
+		Self: s.Name, Settings: s.Owner, Config: n.config.Snapshot, View: n.cluster.View,
+		Report:   n.cluster.ReportUpstream,
+		Engines:  engineclient.New(s.Owner.FirstTokenTimeout.Std(), s.Owner.StallTimeout.Std()),
+		Services: services, Guard: guard, Metrics: owner.NewMetrics(n.registry), Logger: logger,
+	})
+	n.loads = r.owner.Load
+	n.strikes = guard.merge
+	r.claims = claims.New(claims.Options{
+		Store: n.store, Self: s.Name, Settings: s.Claims, Registry: n.registry, Logger: logger,
+	})
+	r.assembleCallers(services)
+	return r, nil
+}
+
+func (r *Router) assembleCallers(services *serviceclient.Client) {
+	n := r.node
+	transport := forward.NewTransport(r.settings.Name, r.owner, n.pool, n.cluster)
+	holder := &actions.Holder{
+		Claims: r.claims, Planner: n.planner, View: n.cluster.View, Services: services,
+		Report: n.cluster.ReportUpstream, Timeout: r.settings.Owner.ServiceTimeout.Std(),
+	}
+	calls := relay.New(relay.Options{
+		Planner: n.planner, View: n.cluster.View, Transport: transport,
+		Retrier: newRetrier(r.settings.Retry, rand.Uint64()), Metrics: relay.NewMetrics(n.registry),
+		CrashPause: r.settings.Containment.SpreadTime.Std(),
+	})
+	r.callers = router.NewServer(router.Options{
+		Settings: r.settings.Callers, Config: n.config.Snapshot,
+		Relay:    calls,
+		Actions:  actions.NewRunner(r.settings.Name, n.cluster.View, r.claims.SlotOf, transport, holder),
+		MoveTo:   r.moveTo,
+		Registry: n.registry,
+	})
+	r.handler = &forward.Handler{Owner: r.owner, Config: n.config, Actions: holder}
+}
+
+// Run serves until the context ends, and then leaves gracefully: it announces
+// that it is leaving, goes on serving while callers may still have its
+// address, and waits for the requests in flight.
+func (r *Router) Run(ctx context.Context) error {
+	listeners, err := listenAll(r.settings.Listen)
+	if err != nil {
+		return err
+	}
+	running, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	group, running := errgroup.WithContext(running)
+	r.start(running, group)
+	group.Go(func() error { return r.owner.Run(running) })
+	group.Go(func() error { return peer.NewServer(listeners.peers, r.handler).Run(running) })
+	group.Go(func() error { return serveHTTP(running, listeners.admin, r.adminHandler(r.status, r.ready)) })
+	callers := router.NewHTTPServer(r.callers)
+	group.Go(func() error { return serveCallers(callers, listeners.callers) })
+	r.logger.WithField("address", r.settings.Listen.Callers).Info("router started")
+	select {
+	case <-ctx.Done():
+		r.leave(callers)
+	case <-running.Done():
+		_ = callers.Close()
+	}
+	stop()
+	return group.Wait()
+}
+
+func (r *Router) leave(callers *http.Server) {
+	r.logger.Info("router leaving")
+	r.leaving.Store(true)
+	r.cluster.Leave()
+	time.Sleep(r.settings.AddressValidity.Std())
+	ctx, cancel := context.WithTimeout(context.Background(), r.settings.StopTimeout.Std())
+	defer cancel()
+	if err := callers.Shutdown(ctx); err != nil {
+		r.logger.WithError(err).Warn("requests were cut at the stop timeout: raise stop_timeout")
+	}
+	r.owner.WaitIdle(ctx)
+	if err := r.claims.Release(ctx); err != nil {
+		r.logger.WithError(err).Warn("claim slots were left without their last outcomes")
+	}
+}
+
+// moveTo returns another router's address once this one is leaving.
+func (r *Router) moveTo() string {
+	if !r.leaving.Load() {
+		return ""
+	}
+	for _, other := range r.cluster.View().Routers {
+		if other.Name != r.settings.Name && !other.Leaving {
+			return other.Address
+		}
+	}
+	return ""
+}
+
+func (r *Router) ready() bool {
+	return r.config.Snapshot() != nil && r.cluster.View().Listed
+}
+
+func (r *Router) status() any {
+	status := r.commonStatus()
+	status.Leaving = r.leaving.Load()
+	status.Loads = r.owner.Loads()
+	return status
+}
+
+func serveCallers(server *http.Server, listener net.Listener) error {
+	err := server.Serve(listener)
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
--- a/internal/engineclient/client.go
+++ b/internal/engineclient/client.go
@@ -69,7 +69,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "chat request")
 	}
-	return c.open(ctx, httpRequest, requestID, 0)
+	return c.open(ctx, httpRequest, requestID, 0, c.firstToken)
 }
 
 // Resume continues a stream after the given number of tokens, on a new
@@ -84,7 +84,7 @@
 		return nil, errors.Wrap(err, "resume request")
 	}
 	httpRequest.Close = true
-	return c.open(ctx, httpRequest, requestID, after)
+	return c.open(ctx, httpRequest, requestID, after, c.stall)
 }
 
 // Cancel ends a stream whose caller has gone. Failures are of no consequence:
@@ -103,9 +103,10 @@
 	_ = response.Body.Close()
 }
 
-func (c *Client) open(ctx context.Context, request *http.Request, requestID string, first uint32) (*Stream, error) {
+func (c *Client) open(ctx context.Context, request *http.Request, requestID string, first uint32,
+	timeout time.Duration) (*Stream, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
-	watchdog := time.AfterFunc(c.firstToken, func() { cancel(ErrStalled) })
+	watchdog := time.AfterFunc(timeout, func() { cancel(ErrStalled) })
 	response, err := c.http.Do(request.WithContext(ctx))
 	if err != nil {
 		watchdog.Stop()
--- /dev/null
+++ b/internal/forward/transport.go
@@ -0,0 +1,105 @@
+// Package forward carries a call from the router that faces its caller to the
+// router that owns its upstream, which may be the same one.
+package forward
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/verbenatrail/verbenatrail/internal/cluster"
+	"github.com/verbenatrail/verbenatrail/internal/owner"
+	"github.com/verbenatrail/verbenatrail/internal/peer"
+	"github.com/verbenatrail/verbenatrail/internal/peerpb"
+	"github.com/verbenatrail/verbenatrail/internal/refusal"
+	"github.com/verbenatrail/verbenatrail/internal/relay"
+)
+
+// silenceTimeout is the longest accepted time between two events of a
+// forwarded call. An owner sends a notice more often than that.
+const silenceTimeout = 4 * time.Second
+
+// Reporter takes results of connections to other routers.
+type Reporter interface {
+	ReportPeer(name string, ok bool)
+}
+
+// Transport implements relay.Transport.
+type Transport struct {
+	self     string
+	local    *owner.Owner
+	pool     *peer.Pool
+	reporter Reporter
+}
+
+// NewTransport returns a transport that serves calls for self in this process.
+func NewTransport(self string, local *owner.Owner, pool *peer.Pool, reporter Reporter) *Transport {
+	return &Transport{self: self, local: local, pool: pool, reporter: reporter}
+}
+
+// Forward implements relay.Transport.
+func (t *Transport) Forward(ctx context.Context, router cluster.RouterView, request *peerpb.ForwardRequest,
+	receive func(*peerpb.ForwardEvent) error) error {
+	request.Via = append(request.Via, t.self)
+	if router.Name == t.self {
+		return t.forwardLocal(ctx, request, receive)
+	}
+	return t.forwardRemote(ctx, router, request, receive)
+}
+
+// forwardLocal returns the error of receive as it is, so that the relay tells
+// a caller that has gone from an upstream that failed.
+func (t *Transport) forwardLocal(ctx context.Context, request *peerpb.ForwardRequest,
+	receive func(*peerpb.ForwardEvent) error) error {
+	var received error
+	err := t.local.Serve(ctx, request, func(event *peerpb.ForwardEvent) error {
+		received = receive(event)
+		return received
+	})
+	if received != nil {
+		return received
+	}
+	return err
+}
+
+func (t *Transport) forwardRemote(ctx context.Context, router cluster.RouterView, request *peerpb.ForwardRequest,
+	receive func(*peerpb.ForwardEvent) error) error {
+	header := &peerpb.StreamHeader{Request: &peerpb.StreamHeader_Forward{Forward: request}}
+	stream, err := t.open(ctx, router, header)
+	if err != nil {
+		return err
+	}
+	defer stream.Close()
+	stop := context.AfterFunc(ctx, stream.Close)
+	defer stop()
+	return t.readEvents(ctx, router, stream, receive)
+}
+
+func (t *Transport) readEvents(ctx context.Context, router cluster.RouterView, stream *peer.Stream,
+	receive func(*peerpb.ForwardEvent) error) error {
+	for {
+		event := &peerpb.ForwardEvent{}
+		if err := stream.Receive(event, silenceTimeout); err != nil {
+			return t.linkFailure(ctx, router, err)
+		}
+		if refused := event.GetRefusal(); refused != nil {
+			return refusal.FromProto(refused)
+		}
+		if err := receive(event); err != nil {
+			return err
+		}
+		if event.GetEnd() != nil || event.GetAction() != nil {
+			return nil
+		}
+	}
+}
+
+func (t *Transport) linkFailure(ctx context.Context, router cluster.RouterView, err error) error {
+	if ctx.Err() != nil {
+		return ctx.Err()
+	}
+	t.pool.Discard(router.PeerAddress)
+	t.reporter.ReportPeer(router.Name, false)
+	return errors.Wrap(relay.ErrLink, err.Error())
+}
--- /dev/null
+++ b/internal/owner/chat.go
@@ -0,0 +1,209 @@
+package owner
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/verbenatrail/verbenatrail/internal/engineapi"
+	"github.com/verbenatrail/verbenatrail/internal/engineclient"
+	"github.com/verbenatrail/verbenatrail/internal/fleet"
+	"github.com/verbenatrail/verbenatrail/internal/membership"
+	"github.com/verbenatrail/verbenatrail/internal/peerpb"
+	"github.com/verbenatrail/verbenatrail/internal/refusal"
+)
+
+// maxResumes bounds the new connections that one answer may need at its engine.
+const maxResumes = 3
+
+// chatRun is one answer stream at the engine that writes it.
+type chatRun struct {
+	owner       *Owner
+	target      *target
+	requestID   string
+	fingerprint uint64
+	base        uint32
+	// received counts the tokens of this stream that were passed on.
+	received uint32
+	resumes  int
+	sink     Sink
+}
+
+func (o *Owner) serveChat(ctx context.Context, request *peerpb.ForwardRequest, t *target,
+	call *peerpb.ChatCall, sink Sink) error {
+	if t.leaving {
+		return refusal.New(refusal.Leaving, "engine "+t.declared.Name+" is leaving: try another").WithRetryAfter(retryAfterBusy)
+	}
+	body, refused := chatBody(call)
+	if refused != nil {
+		return refused
+	}
+	slot, refused := o.admit(ctx, request, t, sink)
+	if refused != nil {
+		return refused
+	}
+	run := &chatRun{
+		owner: o, target: t, requestID: request.GetRequestId(),
+		fingerprint: request.GetFingerprint(), base: call.GetGeneratedTokens(), sink: sink,
+	}
+	priority := fleet.Priority(request.GetPriority()).String()
+	stream, err := o.Engines.Start(ctx, t.address, run.requestID, priority, body)
+	if err != nil {
+		failure := run.startFailure(err)
+		slot.release(EndCut)
+		return failure
+	}
+	o.Report(t.declared.Name, membership.ConnOK)
+	return run.serve(ctx, stream, slot)
+}
+
+func (o *Owner) serveResume(ctx context.Context, request *peerpb.ForwardRequest, t *target,
+	call *peerpb.ResumeCall, sink Sink) error {
+	run := &chatRun{
+		owner: o, target: t, requestID: call.GetStreamRequestId(),
+		fingerprint: request.GetFingerprint(), base: call.GetBaseToken(),
+		received: call.GetAfterToken(), sink: sink,
+	}
+	slot := o.detached.take(call.GetStreamId())
+	if slot == nil {
+		slot = o.gates.gate(t.declared).force(request)
+	}
+	stream, err := o.Engines.Resume(ctx, t.address, run.requestID, call.GetStreamId(), run.received)
+	if err != nil {
+		failure := run.resumeFailure(err)
+		slot.release(EndCut)
+		return failure
+	}
+	return run.serve(ctx, stream, slot)
+}
+
+// chatBody adds the text that earlier engines generated to the caller's request.
+func chatBody(call *peerpb.ChatCall) (*engineapi.ChatRequest, *refusal.Refusal) {
+	body := &engineapi.ChatRequest{}
+	if err := json.Unmarshal(call.GetBody(), body); err != nil {
+		return nil, refusal.New(refusal.BadRequest, "the chat request is no valid JSON: "+err.Error())
+	}
+	body.Stream = true
+	if call.GetGeneratedTokens() == 0 {
+		return body, nil
+	}
+	body.Messages = append(body.Messages, engineapi.Message{Role: "assistant", Content: call.GetGeneratedText()})
+	body.ContinueFinalMessage = true
+	if body.MaxTokens > 0 {
+		body.MaxTokens -= int(call.GetGeneratedTokens())
+	}
+	return body, nil
+}
+
+// serve passes the stream on, and resumes it on new connections while the
+// engine still holds it.
+func (r *chatRun) serve(ctx context.Context, stream *engineclient.Stream, slot *slot) error {
+	streamID := stream.ID
+	if err := r.sendHead(streamID); err != nil {
+		r.detach(stream, slot)
+		return err
+	}
+	for {
+		err := r.pump(stream)
+		if err == nil {
+			slot.release(EndWhole)
+			return r.sendEnd(stream.Finish())
+		}
+		if isSinkError(err) || ctx.Err() != nil {
+			r.detach(stream, slot)
+			return err
+		}
+		stream.Close()
+		next, err := r.reopen(ctx, streamID, err)
+		if err != nil {
+			failure := r.resumeFailure(err)
+			slot.release(EndCut)
+			return failure
+		}
+		stream = next
+	}
+}
+
+// pump passes tokens on until the answer's end, which it returns as nil.
+func (r *chatRun) pump(stream *engineclient.Stream) error {
+	for {
+		token, err := stream.Next()
+		if errors.Is(err, io.EOF) {
+			stream.Close()
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		r.received = token.Index + 1
+		if err := r.sendToken(token); err != nil {
+			return err
+		}
+	}
+}
+
+func (r *chatRun) reopen(ctx context.Context, streamID string, cause error) (*engineclient.Stream, error) {
+	r.owner.Metrics.StreamsBroken.Inc(1)
+	if r.resumes >= maxResumes || streamID == "" {
+		return nil, cause
+	}
+	r.resumes++
+	stream, err := r.owner.Engines.Resume(ctx, r.target.address, r.requestID, streamID, r.received)
+	if err != nil {
+		return nil, err
+	}
+	r.owner.Metrics.StreamsResumed.Inc(1)
+	stream.ID = streamID
+	return stream, nil
+}
+
+// startFailure reports a stream that never began.
+func (r *chatRun) startFailure(err error) error {
+	name := r.target.declared.Name
+	switch {
+	case errors.Is(err, engineclient.ErrNotStarted):
+		r.owner.Report(name, membership.ConnRefused)
+		return refusal.New(refusal.UpstreamFailed, "engine "+name+" can't be reached: try another").WithRetryAfter(retryAfterFailure)
+	case errors.Is(err, engineclient.ErrRejected):
+		return refusal.New(refusal.UpstreamFailed, "engine "+name+" rejected the request: try another").WithRetryAfter(retryAfterFailure)
+	case errors.Is(err, engineclient.ErrBroken):
+		r.owner.crashed(name)
+		return r.crashRefusal()
+	default:
+		r.owner.Report(name, membership.ConnSilent)
+		return refusal.NewUnknown(refusal.UpstreamFailed, "engine "+name+" doesn't answer: try another").WithRetryAfter(retryAfterFailure)
+	}
+}
+
+// resumeFailure reports a stream that can't be continued at its engine.
+func (r *chatRun) resumeFailure(err error) error {
+	name := r.target.declared.Name
+	if errors.Is(err, engineclient.ErrNotStarted) || errors.Is(err, engineclient.ErrBroken) {
+		r.owner.crashed(name)
+		return r.crashRefusal()
+	}
+	if errors.Is(err, engineclient.ErrStreamGone) {
+		return refusal.NewUnknown(refusal.StreamLost, "engine "+name+" no longer holds the stream: start the answer again")
+	}
+	r.owner.Report(name, membership.ConnSilent)
+	return refusal.NewUnknown(refusal.UpstreamFailed, "engine "+name+" stopped in the middle of an answer: go on at another").
+		WithRetryAfter(retryAfterFailure)
+}
+
+func (r *chatRun) crashRefusal() error {
+	name := r.target.declared.Name
+	refused := refusal.NewUnknown(refusal.UpstreamFailed, "engine "+name+" broke off while it ran the request: go on at another").
+		WithRetryAfter(retryAfterFailure)
+	refused.UpstreamCrashed = true
+	refused.Upstream = name
+	return refused
+}
+
+func (o *Owner) crashed(upstream string) {
+	o.Metrics.Crashes.Inc(1)
+	o.Report(upstream, membership.ConnCrashed)
+	o.Guard.Crash(time.Now(), upstream)
+}
--- /dev/null
+++ b/internal/owner/gate.go
@@ -0,0 +1,213 @@
+package owner
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/verbenatrail/verbenatrail/internal/admission"
+	"github.com/verbenatrail/verbenatrail/internal/fleet"
+	"github.com/verbenatrail/verbenatrail/internal/peerpb"
+	"github.com/verbenatrail/verbenatrail/internal/refusal"
+)
+
+const (
+	// gateTick is the time between two looks at the deadlines of a gate.
+	gateTick = 20 * time.Millisecond
+	// waitingNotice is the time between two notices to a request that waits.
+	waitingNotice = time.Second
+)
+
+// gate admits the requests of one upstream.
+type gate struct {
+	name string
+	pool uint32
+
+	mu        sync.Mutex
+	scheduler *admission.Scheduler
+	nextID    uint64
+	waiters   map[uint64]chan admission.Effect
+	// forced counts streams that run without an admission, being resumed.
+	forced int
+	// mean is the latest expected load.
+	mean float64
+}
+
+// slot is the place of one running request at its gate.
+type slot struct {
+	gate     *gate
+	id       uint64
+	forced   bool
+	finished func(end End)
+	once     sync.Once
+}
+
+func newGate(name string, pool uint32, settings admission.Settings, capacity int) *gate {
+	return &gate{
+		name: name, pool: pool,
+		scheduler: admission.New(settings, capacity),
+		waiters:   make(map[uint64]chan admission.Effect),
+	}
+}
+
+// offer asks for a place. The channel delivers the end of the wait when the
+// request was queued.
+func (g *gate) offer(now time.Time, request admission.Request) (uint64, admission.Decision, <-chan admission.Effect) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.nextID++
+	request.ID = g.nextID
+	decision := g.scheduler.Offer(now, request)
+	g.deliver(decision.Effects)
+	if decision.Verdict != admission.Queued {
+		return request.ID, decision, nil
+	}
+	waiter := make(chan admission.Effect, 1)
+	g.waiters[request.ID] = waiter
+	return request.ID, decision, waiter
+}
+
+// force takes a place without admission: the engine runs the stream already.
+func (g *gate) force(request *peerpb.ForwardRequest) *slot {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.forced++
+	return &slot{gate: g, forced: true, finished: func(End) {}}
+}
+
+func (g *gate) cancel(now time.Time, id uint64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	delete(g.waiters, id)
+	g.deliver(g.scheduler.Cancel(now, id))
+}
+
+func (g *gate) tick(now time.Time, mean float64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.mean = mean
+	g.deliver(g.scheduler.SetMean(now, mean))
+	g.deliver(g.scheduler.Tick(now))
+}
+
+func (g *gate) setForeign(now time.Time, load int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.deliver(g.scheduler.SetForeignLoad(now, load))
+}
+
+func (g *gate) inFlight() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.scheduler.InFlight() + g.forced
+}
+
+// deliver hands effects to the requests that wait for them.
+func (g *gate) deliver(effects []admission.Effect) {
+	for _, effect := range effects {
+		waiter := g.waiters[effect.ID]
+		if waiter == nil {
+			continue
+		}
+		delete(g.waiters, effect.ID)
+		waiter <- effect
+	}
+}
+
+// release frees the place.
+func (s *slot) release(end End) {
+	s.once.Do(func() {
+		s.finished(end)
+		s.gate.mu.Lock()
+		defer s.gate.mu.Unlock()
+		if s.forced {
+			s.gate.forced--
+			return
+		}
+		s.gate.deliver(s.gate.scheduler.Finish(time.Now(), s.id))
+	})
+}
+
+// admit waits for a place at the request's upstream.
+func (o *Owner) admit(ctx context.Context, request *peerpb.ForwardRequest, t *target, sink Sink) (*slot, *refusal.Refusal) {
+	g := o.gates.gate(t.declared)
+	start := time.Now()
+	id, decision, waiter := g.offer(start, o.admissionRequest(request, t, start))
+	switch decision.Verdict {
+	case admission.Refused:
+		o.Metrics.Refused.Inc(1)
+		return nil, admissionRefusal(t.declared.Name, decision.Reason, decision.RetryAfter)
+	case admission.Queued:
+		o.Metrics.Queued.Inc(1)
+		if refused := o.wait(ctx, g, id, waiter, t, sink); refused != nil {
+			return nil, refused
+		}
+		o.Metrics.QueueWait.UpdateSince(start)
+	}
+	o.Metrics.Admitted.Inc(1)
+	return o.guarded(g, id, request.GetFingerprint())
+}
+
+// guarded registers the admitted request with the guard.
+func (o *Owner) guarded(g *gate, id uint64, fingerprint uint64) (*slot, *refusal.Refusal) {
+	if refused := o.Guard.Start(time.Now(), g.name, fingerprint); refused != nil {
+		g.cancel(time.Now(), id)
+		return nil, refused
+	}
+	finished := func(end End) { o.Guard.Finish(time.Now(), g.name, fingerprint, end) }
+	return &slot{gate: g, id: id, finished: finished}, nil
+}
+
+func (o *Owner) admissionRequest(request *peerpb.ForwardRequest, t *target, now time.Time) admission.Request {
+	weight := 1
+	if workspace := t.snapshot.Workspaces[request.GetWorkspace()]; workspace != nil {
+		weight = workspace.Weight
+	}
+	return admission.Request{
+		Workspace: request.GetWorkspace(), Weight: weight,
+		Class:    fleet.Priority(request.GetPriority()),
+		Deadline: now.Add(time.Duration(request.GetTimeoutMs()) * time.Millisecond),
+		MayWait:  request.GetMayWait(), PoolFull: request.GetPoolFull(),
+	}
+}
+
+// wait blocks until a queued request starts or is refused.
+func (o *Owner) wait(ctx context.Context, g *gate, id uint64, waiter <-chan admission.Effect, t *target, sink Sink) *refusal.Refusal {
+	notice := time.NewTicker(waitingNotice)
+	defer notice.Stop()
+	for {
+		select {
+		case effect := <-waiter:
+			if effect.Kind == admission.Start {
+				return nil
+			}
+			o.Metrics.Refused.Inc(1)
+			return admissionRefusal(t.declared.Name, effect.Reason, effect.RetryAfter)
+		case <-ctx.Done():
+			g.cancel(time.Now(), id)
+			return refusal.New(refusal.DeadlineExceeded, "the caller stopped waiting: retry with a longer time limit")
+		case <-notice.C:
+			if err := sink(waitingEvent()); err != nil {
+				g.cancel(time.Now(), id)
+				return refusal.New(refusal.DeadlineExceeded, "the caller stopped waiting: retry with a longer time limit")
+			}
+		}
+	}
+}
+
+func admissionRefusal(upstream string, reason admission.Reason, retryAfter time.Duration) *refusal.Refusal {
+	var refused *refusal.Refusal
+	switch reason {
+	case admission.ReasonOverBound:
+		refused = refusal.New(refusal.OwnerBusy, upstream+" is at its bound: try another or retry later")
+	case admission.ReasonQueueFull:
+		refused = refusal.New(refusal.Overloaded, "too many requests wait for "+upstream+": retry after the given time")
+	case admission.ReasonDraining:
+		refused = refusal.New(refusal.Leaving, upstream+" is leaving: try another")
+	case admission.ReasonDeadline:
+		refused = refusal.New(refusal.QueueTimeout, upstream+" can't start the request within its time limit: retry after the given time")
+	default:
+		refused = refusal.New(refusal.InternalError, "admission failed: "+reason.String())
+	}
+	return refused.WithRetryAfter(max(retryAfter, retryAfterBusy))
+}
--- /dev/null
+++ b/internal/owner/gateset.go
@@ -0,0 +1,129 @@
+package owner
+
+import (
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/verbenatrail/verbenatrail/internal/cluster"
+	"github.com/verbenatrail/verbenatrail/internal/fleet"
+)
+
+// gateSet holds the gates of all upstreams that this router has served.
+type gateSet struct {
+	options Options
+
+	mu    sync.Mutex
+	gates map[string]*gate
+}
+
+func newGateSet(options Options) *gateSet {
+	return &gateSet{options: options, gates: make(map[string]*gate)}
+}
+
+// gate returns the gate of an upstream, which it creates on first use.
+func (s *gateSet) gate(upstream *fleet.Upstream) *gate {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	g := s.gates[upstream.Name]
+	if g == nil {
+		g = newGate(upstream.Name, s.poolHash(upstream), s.options.Settings.Admission, upstream.Capacity)
+		g.scheduler.SetMean(time.Now(), s.mean(upstream))
+		s.gates[upstream.Name] = g
+	}
+	return g
+}
+
+func (s *gateSet) poolHash(upstream *fleet.Upstream) uint32 {
+	snapshot := s.options.Config()
+	if snapshot == nil || upstream.Pool >= len(snapshot.Pools) {
+		return 0
+	}
+	return snapshot.Pools[upstream.Pool].Hash
+}
+
+func (s *gateSet) all() []*gate {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	gates := make([]*gate, 0, len(s.gates))
+	for _, g := range s.gates {
+		gates = append(gates, g)
+	}
+	return gates
+}
+
+func (s *gateSet) load() map[uint32]int {
+	load := make(map[uint32]int)
+	for _, g := range s.all() {
+		load[g.pool] += g.inFlight()
+	}
+	return load
+}
+
+func (s *gateSet) tick(now time.Time) {
+	snapshot := s.options.Config()
+	if snapshot == nil {
+		return
+	}
+	for _, g := range s.all() {
+		if upstream := snapshot.Upstreams[g.name]; upstream != nil {
+			g.tick(now, s.mean(upstream))
+		}
+	}
+}
+
+// mean returns the expected requests in flight at an upstream: the pool's load
+// per unit of weight, times the upstream's weight.
+func (s *gateSet) mean(upstream *fleet.Upstream) float64 {
+	snapshot := s.options.Config()
+	view := s.options.View()
+	if snapshot == nil || upstream.Pool >= len(snapshot.Pools) {
+		return 0
+	}
+	pool := snapshot.Pools[upstream.Pool]
+	weight := liveWeight(view, pool)
+	if weight == 0 {
+		return 0
+	}
+	total := view.PoolMeans[pool.Hash] * float64(len(view.Routers))
+	return total / weight * float64(upstream.Weight)
+}
+
+// liveWeight sums the weights of the pool's upstreams that are not gone.
+func liveWeight(view *cluster.View, pool *fleet.Pool) float64 {
+	total := 0.0
+	for _, upstream := range pool.Upstreams {
+		state, known := view.Upstreams[upstream.Name]
+		if known && state.State == cluster.Live {
+			total += float64(upstream.Weight)
+		}
+	}
+	return total
+}
+
+func (s *gateSet) inFlight() int {
+	total := 0
+	for _, g := range s.all() {
+		total += g.inFlight()
+	}
+	return total
+}
+
+func (s *gateSet) loads(now time.Time) []Load {
+	gates := s.all()
+	loads := make([]Load, 0, len(gates))
+	for _, g := range gates {
+		loads = append(loads, g.status(now))
+	}
+	sort.Slice(loads, func(i, j int) bool { return loads[i].Upstream < loads[j].Upstream })
+	return loads
+}
+
+func (g *gate) status(now time.Time) Load {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return Load{
+		Upstream: g.name, InFlight: g.scheduler.InFlight() + g.forced, Queued: g.scheduler.Queued(),
+		Limit: g.scheduler.Limit(now), Mean: g.mean,
+	}
+}
--- /dev/null
+++ b/internal/owner/metrics.go
@@ -0,0 +1,31 @@
+package owner
+
+import "github.com/rcrowley/go-metrics"
+
+// Metrics counts what an owner does.
+type Metrics struct {
+	Admitted       metrics.Counter
+	Queued         metrics.Counter
+	Refused        metrics.Counter
+	StreamsBroken  metrics.Counter
+	StreamsResumed metrics.Counter
+	Crashes        metrics.Counter
+	PromptTokens   metrics.Counter
+	CachedTokens   metrics.Counter
+	QueueWait      metrics.Timer
+}
+
+// NewMetrics registers the metrics.
+func NewMetrics(registry metrics.Registry) *Metrics {
+	return &Metrics{
+		Admitted:       metrics.NewRegisteredCounter("owner.admitted.requests", registry),
+		Queued:         metrics.NewRegisteredCounter("owner.queued.requests", registry),
+		Refused:        metrics.NewRegisteredCounter("owner.refused.requests", registry),
+		StreamsBroken:  metrics.NewRegisteredCounter("owner.streams_broken.streams", registry),
+		StreamsResumed: metrics.NewRegisteredCounter("owner.streams_resumed.streams", registry),
+		Crashes:        metrics.NewRegisteredCounter("owner.upstream_crashes.events", registry),
+		PromptTokens:   metrics.NewRegisteredCounter("owner.prompt.tokens", registry),
+		CachedTokens:   metrics.NewRegisteredCounter("owner.cached_prompt.tokens", registry),
+		QueueWait:      metrics.NewRegisteredTimer("owner.queue_wait.nanoseconds", registry),
+	}
+}
--- /dev/null
+++ b/internal/owner/owner.go
@@ -0,0 +1,171 @@
+// Package owner serves forwarded calls at the router that owns their engine or
+// service instance: admission, the upstream's connection, and what happens
+// when it breaks.
+package owner
+
+import (
+	"context"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/verbenatrail/verbenatrail/internal/cluster"
+	"github.com/verbenatrail/verbenatrail/internal/engineclient"
+	"github.com/verbenatrail/verbenatrail/internal/fleet"
+	"github.com/verbenatrail/verbenatrail/internal/membership"
+	"github.com/verbenatrail/verbenatrail/internal/peerpb"
+	"github.com/verbenatrail/verbenatrail/internal/refusal"
+	"github.com/verbenatrail/verbenatrail/internal/serviceclient"
+)
+
+const (
+	retryAfterBusy    = 500 * time.Millisecond
+	retryAfterFailure = time.Second
+)
+
+// Sink receives the events of one answer. An error means that nobody reads
+// them any longer.
+type Sink func(*peerpb.ForwardEvent) error
+
+// Guard decides about requests that crash engines.
+type Guard interface {
+	// Check returns a refusal for a request that has crashed too many engines.
+	Check(now time.Time, fingerprint uint64) *refusal.Refusal
+	// Start records that an upstream runs a request, or returns a refusal when
+	// it may not run there now.
+	Start(now time.Time, upstream string, fingerprint uint64) *refusal.Refusal
+	// Finish records that an upstream no longer runs a request.
+	Finish(now time.Time, upstream string, fingerprint uint64, end End)
+	// Crash records that an upstream died with all requests it ran.
+	Crash(now time.Time, upstream string)
+}
+
+// End tells how a request at an upstream ended.
+type End int
+
+// Ends of a request.
+const (
+	// EndWhole: the upstream sent the whole answer.
+	EndWhole End = iota
+	// EndCut: the upstream failed, or the caller went away.
+	EndCut
+)
+
+// Options are what an Owner needs. All fields are required.
+type Options struct {
+	Self     string
+	Settings Settings
+	Config   func() *fleet.Snapshot
+	View     func() *cluster.View
+	Report   func(upstream string, result membership.ConnResult)
+	Engines  *engineclient.Client
+	Services *serviceclient.Client
+	Guard    Guard
+	Metrics  *Metrics
+	Logger   *logrus.Logger
+}
+
+// Owner serves forwarded calls. It is safe for concurrent use.
+type Owner struct {
+	Options
+	gates *gateSet
+	// detached are streams whose caller has gone but may come back.
+	detached *detachedStreams
+}
+
+// New returns an owner; Run must be started for its timers.
+func New(options Options) *Owner {
+	return &Owner{Options: options, gates: newGateSet(options), detached: newDetachedStreams()}
+}
+
+// Run drives the timers of all gates until the context ends.
+func (o *Owner) Run(ctx context.Context) error {
+	ticker := time.NewTicker(gateTick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case now := <-ticker.C:
+			o.gates.tick(now)
+		}
+	}
+}
+
+// Load returns the requests in flight for each pool, by the pool's hash.
+func (o *Owner) Load() map[uint32]int { return o.gates.load() }
+
+// Serve runs one forwarded call and passes its events to sink. It returns nil
+// after the end of a whole answer, the refusal otherwise.
+func (o *Owner) Serve(ctx context.Context, request *peerpb.ForwardRequest, sink Sink) error {
+	upstream, refused := o.upstream(request)
+	if refused != nil {
+		return refused
+	}
+	if refused := o.Guard.Check(time.Now(), request.GetFingerprint()); refused != nil {
+		return refused
+	}
+	switch call := request.GetCall().(type) {
+	case *peerpb.ForwardRequest_Chat:
+		return o.serveChat(ctx, request, upstream, call.Chat, sink)
+	case *peerpb.ForwardRequest_Resume:
+		return o.serveResume(ctx, request, upstream, call.Resume, sink)
+	case *peerpb.ForwardRequest_Service:
+		return o.serveService(ctx, request, upstream, call.Service, sink)
+	default:
+		return refusal.New(refusal.BadRequest, "the forwarded call has no content: update this router")
+	}
+}
+
+// upstream checks that this router knows the declared upstream and its address.
+func (o *Owner) upstream(request *peerpb.ForwardRequest) (*target, *refusal.Refusal) {
+	name := request.GetUpstream()
+	snapshot := o.Config()
+	if snapshot == nil {
+		return nil, refusal.New(refusal.NoLiveUpstream, "the owner has no configuration yet: try another upstream").
+			WithRetryAfter(retryAfterFailure)
+	}
+	declared := snapshot.Upstreams[name]
+	state, known := o.View().Upstreams[name]
+	if declared == nil || !known {
+		return nil, refusal.New(refusal.NoLiveUpstream, "upstream "+name+" is not known to its owner: try another").
+			WithRetryAfter(retryAfterFailure)
+	}
+	return &target{declared: declared, address: state.Address, leaving: state.State == cluster.Leaving, snapshot: snapshot}, nil
+}
+
+// target is a declared upstream with its present address.
+type target struct {
+	declared *fleet.Upstream
+	address  string
+	leaving  bool
+	snapshot *fleet.Snapshot
+}
+
+// Load is the present load of one upstream at its owner.
+type Load struct {
+	Upstream string `json:"upstream"`
+	InFlight int    `json:"in_flight"`
+	Queued   int    `json:"queued"`
+	// Limit is the bound at the moment.
+	Limit int `json:"limit"`
+	// Mean is the expected load that the bound was derived from.
+	Mean float64 `json:"mean"`
+}
+
+// Loads returns the load of each upstream that this router has served, in name
+// order.
+func (o *Owner) Loads() []Load { return o.gates.loads(time.Now()) }
+
+// WaitIdle waits until no request is in flight here, or the context ends.
+func (o *Owner) WaitIdle(ctx context.Context) {
+	ticker := time.NewTicker(gateTick)
+	defer ticker.Stop()
+	for o.gates.inFlight() > 0 {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
--- /dev/null
+++ b/internal/peer/peer_test.go
@@ -0,0 +1,174 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/goleak"
+
+	"github.com/verbenatrail/verbenatrail/internal/peerpb"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// echoHandler answers each stream with one event.
+type echoHandler struct{ streams atomic.Int32 }
+
+func (h *echoHandler) ServeStream(_ context.Context, header *peerpb.StreamHeader, stream *Stream) {
+	h.streams.Add(1)
+	text := header.GetForward().GetRequestId()
+	_ = stream.Send(&peerpb.ForwardEvent{Event: &peerpb.ForwardEvent_Token{Token: &peerpb.TokenChunk{Text: text}}})
+}
+
+func startServer(t *testing.T, handler Handler) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- NewServer(listener, handler).Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		if err := <-done; err != nil {
+			t.Errorf("server: %v", err)
+		}
+	})
+	return listener.Addr().String()
+}
+
+func forwardHeader(id string) *peerpb.StreamHeader {
+	return &peerpb.StreamHeader{Request: &peerpb.StreamHeader_Forward{Forward: &peerpb.ForwardRequest{RequestId: id}}}
+}
+
+func exchange(t *testing.T, pool *Pool, address, id string) string {
+	t.Helper()
+	stream, err := pool.Open(context.Background(), address, forwardHeader(id))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer stream.Close()
+	event := &peerpb.ForwardEvent{}
+	if err := stream.Receive(event, 5*time.Second); err != nil {
+		t.Fatal(err)
+	}
+	return event.GetToken().GetText()
+}
+
+func TestStreamsCarryTheirOwnRequest(t *testing.T) {
+	address := startServer(t, &echoHandler{})
+	pool := NewPool()
+	defer pool.Close()
+	for _, id := range []string{"a", "b", "c"} {
+		if got := exchange(t, pool, address, id); got != id {
+			t.Errorf("answer = %q, want %q", got, id)
+		}
+	}
+}
+
+func TestOpenReportsUnreachablePeer(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := listener.Addr().String()
+	_ = listener.Close()
+	pool := NewPool()
+	defer pool.Close()
+	if _, err := pool.Open(context.Background(), address, forwardHeader("a")); !errors.Is(err, ErrUnreachable) {
+		t.Errorf("error = %v, want ErrUnreachable", err)
+	}
+}
+
+// silentProxy forwards bytes until it is silenced; connections made before
+// that stay open and carry nothing, new ones work.
+type silentProxy struct {
+	listener net.Listener
+	backend  string
+	silenced atomic.Bool
+	accepted atomic.Int32
+}
+
+func startSilentProxy(t *testing.T, backend string) *silentProxy {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := &silentProxy{listener: listener, backend: backend}
+	t.Cleanup(func() { _ = listener.Close() })
+	go p.run()
+	return p
+}
+
+func (p *silentProxy) run() {
+	for {
+		client, err := p.listener.Accept()
+		if err != nil {
+			return
+		}
+		first := p.accepted.Add(1) == 1
+		server, err := net.Dial("tcp", p.backend)
+		if err != nil {
+			_ = client.Close()
+			continue
+		}
+		go p.pipe(client, server, first)
+		go p.pipe(server, client, first)
+	}
+}
+
+func (p *silentProxy) pipe(from, to net.Conn, mayFallSilent bool) {
+	defer func() { _ = to.Close() }()
+	buffer := make([]byte, 4096)
+	for {
+		n, err := from.Read(buffer)
+		if err != nil {
+			return
+		}
+		if mayFallSilent && p.silenced.Load() {
+			continue
+		}
+		if _, err := to.Write(buffer[:n]); err != nil {
+			return
+		}
+	}
+}
+
+// Without the ping before reuse the stream opens on the silent connection and
+// its answer never comes.
+func TestIdleSessionThatFellSilentIsReplaced(t *testing.T) {
+	proxy := startSilentProxy(t, startServer(t, &echoHandler{}))
+	address := proxy.listener.Addr().String()
+	pool := NewPool()
+	defer pool.Close()
+	exchange(t, pool, address, "before")
+	proxy.silenced.Store(true)
+	pool.peers[address].lastUsed = time.Now().Add(-2 * idleCheckAfter)
+	if got := exchange(t, pool, address, "after"); got != "after" {
+		t.Errorf("answer = %q, want %q", got, "after")
+	}
+	if got := proxy.accepted.Load(); got != 2 {
+		t.Errorf("connections = %d, want 2", got)
+	}
+}
+
+func TestCloseIdleKeepsUsedSessions(t *testing.T) {
+	address := startServer(t, &echoHandler{})
+	pool := NewPool()
+	defer pool.Close()
+	exchange(t, pool, address, "a")
+	pool.CloseIdle(time.Now())
+	if len(pool.peers) != 1 {
+		t.Fatal("a session in use was closed")
+	}
+	pool.CloseIdle(time.Now().Add(2 * idleCloseAfter))
+	if len(pool.peers) != 0 {
+		t.Error("an idle session was kept")
+	}
+}
--- /dev/null
+++ b/internal/relay/relay.go
@@ -0,0 +1,104 @@
+// Package relay serves one idempotent call at the router that faces its
+// caller: it places the call, passes the answer on, and goes on elsewhere when
+// an attempt fails, so that the caller receives each part once and in order.
+package relay
+
+import (
+	"context"
+	"time"
+
+	"github.com/verbenatrail/verbenatrail/internal/cluster"
+	"github.com/verbenatrail/verbenatrail/internal/fleet"
+	"github.com/verbenatrail/verbenatrail/internal/peerpb"
+	"github.com/verbenatrail/verbenatrail/internal/refusal"
+)
+
+const (
+	retryAfterStart      = time.Second
+	retryAfterNoUpstream = 2 * time.Second
+	retryAfterExhausted  = time.Second
+	// maxProbes bounds the owners that are asked in turn whether an upstream
+	// has room.
+	maxProbes = 16
+	// maxUnreachable bounds the owners that can't be reached in one call.
+	maxUnreachable = 6
+)
+
+// Call is one idempotent call of a caller.
+type Call struct {
+	RequestID   string
+	Workspace   string
+	Affinity    string
+	Target      string
+	Kind        fleet.UpstreamKind
+	Priority    fleet.Priority
+	Deadline    time.Time
+	Fingerprint uint64
+	Traceparent string
+	// Chat or Service is set, by Kind.
+	Chat    *peerpb.ChatCall
+	Service *peerpb.ServiceCall
+}
+
+// Transport forwards a request to a router, which may be this one.
+type Transport interface {
+	// Forward passes the events of the answer to receive until its end. A
+	// refusal is returned, not passed. Errors of receive end the call and are
+	// returned; ErrLink and ErrOwnerUnreachable tell of the way to the router.
+	Forward(ctx context.Context, router cluster.RouterView, request *peerpb.ForwardRequest,
+		receive func(*peerpb.ForwardEvent) error) error
+}
+
+// Retrier decides whether and when a failed attempt may be repeated.
+type Retrier interface {
+	// Failed takes one retry from the budget of a workspace and target, and
+	// returns the pause before it; false when there must be none. attempt
+	// counts the sends so far, from one.
+	Failed(now time.Time, workspace, target string, attempt int, deadline time.Time) (time.Duration, bool)
+	// Succeeded adds to the budget for a call that was answered.
+	Succeeded(now time.Time, workspace, target string)
+}
+
+// Options are what a Relay needs. All fields are required.
+type Options struct {
+	Planner   *Planner
+	View      func() *cluster.View
+	Transport Transport
+	Retrier   Retrier
+	Metrics   *Metrics
+	// CrashPause is the least pause before a request whose engine crashed is
+	// sent again, in which other routers learn of the crash.
+	CrashPause time.Duration
+}
+
+// Relay serves calls. It is safe for concurrent use.
+type Relay struct {
+	Options
+}
+
+// New returns a relay.
+func New(o Options) *Relay { return &Relay{Options: o} }
+
+// Serve places and runs a call. It returns nil after the whole answer, and
+// otherwise the refusal that the caller has to be told.
+func (r *Relay) Serve(ctx context.Context, call Call, answer Answer) *refusal.Refusal {
+	plan, refused := r.Planner.Plan(call.Workspace, call.Target, call.Affinity, call.Kind)
+	if refused != nil {
+		return refused
+	}
+	session := &session{relay: r, call: call, plan: plan, answer: answer}
+	refused = session.run(ctx)
+	if refused == nil {
+		r.Retrier.Succeeded(time.Now(), call.Workspace, call.Target)
+	}
+	return refused
+}
+
+// Resume passes on the rest of a chat's answer after a position that the
+// caller received.
+func (r *Relay) Resume(ctx context.Context, call Call, after Position, answer Answer) *refusal.Refusal {
+	session := &session{relay: r, call: call, answer: answer, resumeOnly: true}
+	session.progress.tokens = after.Index + 1
+	session.progress.stream = after
+	return session.run(ctx)
+}
--- /dev/null
+++ b/internal/relay/session.go
@@ -0,0 +1,183 @@
+package relay
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/verbenatrail/verbenatrail/internal/cluster"
+	"github.com/verbenatrail/verbenatrail/internal/peerpb"
+	"github.com/verbenatrail/verbenatrail/internal/placement"
+	"github.com/verbenatrail/verbenatrail/internal/refusal"
+)
+
+// Errors of a Transport. Callers test for them with errors.Is.
+var (
+	// ErrOwnerUnreachable means that the request surely didn't reach the router.
+	ErrOwnerUnreachable = errors.New("router can't be reached: ask the next owner")
+	// ErrLink means that the connection to the router failed during the call.
+	ErrLink = errors.New("connection to the router failed: resume through the next owner")
+	// errCallerGone means that the caller no longer reads.
+	errCallerGone = errors.New("caller has gone")
+)
+
+// session is the state of one call at the router that faces its caller.
+type session struct {
+	relay    *Relay
+	call     Call
+	plan     Plan
+	answer   Answer
+	progress progress
+
+	// tried are the upstreams that had no room or failed.
+	tried []string
+	// unreachable are the routers that can't be reached.
+	unreachable []string
+	// attempts counts the sends that ended in a failure.
+	attempts int
+	// dispatched is set once an upstream may have got the call.
+	dispatched bool
+	// resumeOnly is set when the call's content isn't known here.
+	resumeOnly bool
+	headSent   bool
+}
+
+// attempt is one request to one owner.
+type attempt struct {
+	upstream string
+	router   cluster.RouterView
+	resume   bool
+	mayWait  bool
+	// poolFull is set when every other admitted upstream refused for its bound.
+	poolFull bool
+}
+
+func (s *session) run(ctx context.Context) *refusal.Refusal {
+	for {
+		next, refused := s.next()
+		if refused != nil {
+			return refused
+		}
+		err := s.try(ctx, next)
+		if err == nil {
+			return nil
+		}
+		if final := s.afterFailure(ctx, next, err); final != nil {
+			return final
+		}
+	}
+}
+
+// next chooses the upstream and the owner to ask.
+func (s *session) next() (attempt, *refusal.Refusal) {
+	if s.progress.stream.Stream != "" {
+		return s.withOwner(attempt{upstream: s.progress.stream.Engine, resume: true})
+	}
+	probes := min(len(s.plan.Ranked), maxProbes)
+	for _, upstream := range s.plan.Ranked[:probes] {
+		if !contains(s.tried, upstream) {
+			return s.withOwner(attempt{upstream: upstream})
+		}
+	}
+	return s.waitAttempt()
+}
+
+// waitAttempt queues at the first upstream in rank that has not failed.
+func (s *session) waitAttempt() (attempt, *refusal.Refusal) {
+	for _, upstream := range s.plan.Ranked {
+		if usable(s.relay.View(), upstream) && !s.failedAt(upstream) {
+			poolFull := len(s.plan.Ranked) <= maxProbes
+			return s.withOwner(attempt{upstream: upstream, mayWait: true, poolFull: poolFull})
+		}
+	}
+	return attempt{}, s.giveUp(refusal.NoLiveUpstream, "every admitted upstream failed: retry later", retryAfterNoUpstream)
+}
+
+func (s *session) failedAt(upstream string) bool {
+	return s.progress.failed != nil && contains(s.progress.failed, upstream)
+}
+
+func (s *session) withOwner(a attempt) (attempt, *refusal.Refusal) {
+	view := s.relay.View()
+	names := RouterNames(view, s.unreachable)
+	owner, ok := placement.Owner(a.upstream, names)
+	if !ok || len(s.unreachable) > maxUnreachable {
+		return a, s.giveUp(refusal.OwnerUnreachable, "no router can be reached for the upstream: retry later", retryAfterNoUpstream)
+	}
+	a.router, _ = view.Router(owner)
+	return a, nil
+}
+
+// RouterNames returns the routers that may own upstreams, without some.
+func RouterNames(view *cluster.View, except []string) []string {
+	if len(except) == 0 {
+		return view.Owners
+	}
+	names := make([]string, 0, len(view.Owners))
+	for _, name := range view.Owners {
+		if !contains(except, name) {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+func (s *session) try(ctx context.Context, a attempt) error {
+	request := s.request(a)
+	receiver := &receiver{session: s, attempt: a}
+	return s.relay.Transport.Forward(ctx, a.router, request, receiver.receive)
+}
+
+func (s *session) request(a attempt) *peerpb.ForwardRequest {
+	request := &peerpb.ForwardRequest{
+		RequestId: s.call.RequestID, Workspace: s.call.Workspace, AffinityKey: s.call.Affinity,
+		Upstream: a.upstream, ConfigRevision: s.plan.Revision,
+		TimeoutMs:   uint32(max(0, time.Until(s.call.Deadline).Milliseconds())),
+		Traceparent: s.call.Traceparent, Tried: s.tried, MayWait: a.mayWait, PoolFull: a.poolFull,
+		Priority: uint32(s.call.Priority), Fingerprint: s.call.Fingerprint,
+	}
+	switch {
+	case a.resume:
+		request.Call = &peerpb.ForwardRequest_Resume{Resume: s.resumeCall()}
+	case s.call.Chat != nil:
+		request.Call = &peerpb.ForwardRequest_Chat{Chat: s.chatCall()}
+	default:
+		request.Call = &peerpb.ForwardRequest_Service{Service: s.call.Service}
+	}
+	return request
+}
+
+func (s *session) resumeCall() *peerpb.ResumeCall {
+	stream := s.progress.stream
+	return &peerpb.ResumeCall{
+		StreamId: stream.Stream, StreamRequestId: stream.Request,
+		AfterToken: s.progress.tokens - stream.Base, BaseToken: stream.Base,
+	}
+}
+
+func (s *session) chatCall() *peerpb.ChatCall {
+	return &peerpb.ChatCall{
+		Body:            s.call.Chat.GetBody(),
+		GeneratedText:   s.progress.text.String(),
+		GeneratedTokens: s.progress.tokens,
+	}
+}
+
+// giveUp ends the call with the outcome that is true for it.
+func (s *session) giveUp(kind refusal.Kind, message string, retryAfter time.Duration) *refusal.Refusal {
+	refused := refusal.New(kind, message).WithRetryAfter(retryAfter)
+	if s.dispatched {
+		refused.Outcome = refusal.Unknown
+	}
+	return refused
+}
+
+func contains(names []string, name string) bool {
+	for _, n := range names {
+		if n == name {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/router/api.go
@@ -0,0 +1,34 @@
+// Package router is the HTTP interface of a router towards callers: chat
+// completions as server-sent events, and calls to plain services.
+package router
+
+// Paths of the interface to callers.
+const (
+	PathChat     = "/v1/chat/completions"
+	PathServices = "/v1/services/" // followed by the service's name and the path of the call
+)
+
+// Headers of the interface to callers.
+const (
+	HeaderWorkspace = "Verbenatrail-Workspace"
+	HeaderChat      = "Verbenatrail-Chat"
+	HeaderPriority  = "Verbenatrail-Priority"
+	HeaderTimeoutMS = "Verbenatrail-Timeout-Ms"
+	HeaderOutcome   = "Verbenatrail-Outcome"
+	// HeaderUpstream names the engine or instance that answered.
+	HeaderUpstream = "Verbenatrail-Upstream"
+	// HeaderReplayed is set on an action's recorded outcome.
+	HeaderReplayed = "Verbenatrail-Replayed"
+	// HeaderBodyOmitted is set on a recorded outcome that no longer has the
+	// service's headers and body.
+	HeaderBodyOmitted = "Verbenatrail-Body-Omitted"
+	// HeaderMoveTo carries another router's address while this one is leaving.
+	HeaderMoveTo      = "Verbenatrail-Move-To"
+	HeaderRequestID   = "X-Request-Id"
+	HeaderLastEventID = "Last-Event-ID"
+	HeaderActionKey   = "Idempotency-Key"
+)
+
+// EventError is the type of the event that ends an answer that can't be
+// completed. Its data is the JSON form of a refusal.
+const EventError = "error"
--- /dev/null
+++ b/internal/router/chat.go
@@ -0,0 +1,114 @@
+package router
+
+import (
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/verbenatrail/verbenatrail/internal/engineapi"
+	"github.com/verbenatrail/verbenatrail/internal/fleet"
+	"github.com/verbenatrail/verbenatrail/internal/peerpb"
+	"github.com/verbenatrail/verbenatrail/internal/refusal"
+	"github.com/verbenatrail/verbenatrail/internal/relay"
+)
+
+// maxTokensLimit bounds the max_tokens that a caller may ask for.
+const maxTokensLimit = 1 << 20
+
+func (s *Server) serveChat(w http.ResponseWriter, r *http.Request, info callInfo) {
+	if r.Method != http.MethodPost {
+		w.Header().Set("Allow", http.MethodPost)
+		s.refuse(w, info, refusal.New(refusal.MethodNotAllowed, "chat completions take POST only"))
+		return
+	}
+	body, release, refused := s.readBody(w, r)
+	if refused != nil {
+		s.refuse(w, info, refused)
+		return
+	}
+	defer release()
+	request, refused := parseChat(body)
+	if refused != nil {
+		s.refuse(w, info, refused)
+		return
+	}
+	answer := s.newChatAnswer(w, info, request)
+	if refused := s.runChat(r, info, request, body, answer); refused != nil {
+		s.endRefused(answer, refused)
+	}
+}
+
+func (s *Server) runChat(r *http.Request, info callInfo, request *engineapi.ChatRequest, body []byte,
+	answer relay.Answer) *refusal.Refusal {
+	call := chatCall(r, info, request, body)
+	lastEventID := r.Header.Get(HeaderLastEventID)
+	if lastEventID == "" {
+		return s.relay.Serve(r.Context(), call, answer)
+	}
+	position, err := relay.ParsePosition(lastEventID)
+	if err != nil {
+		return refusal.New(refusal.BadRequest, err.Error())
+	}
+	return s.relay.Resume(r.Context(), call, position, answer)
+}
+
+func chatCall(r *http.Request, info callInfo, request *engineapi.ChatRequest, body []byte) relay.Call {
+	affinity := relay.ChatAffinity(info.workspace, info.chat)
+	if info.chat == "" {
+		affinity = info.requestID
+	}
+	deadline, _ := r.Context().Deadline()
+	return relay.Call{
+		RequestID: info.requestID, Workspace: info.workspace, Affinity: affinity,
+		Target: request.Model, Kind: fleet.KindEngine, Priority: info.priority,
+		Deadline: deadline, Fingerprint: relay.Fingerprint(info.workspace, string(body)),
+		Traceparent: traceparent(r.Context()), Chat: &peerpb.ChatCall{Body: body},
+	}
+}
+
+func parseChat(body []byte) (*engineapi.ChatRequest, *refusal.Refusal) {
+	request := &engineapi.ChatRequest{}
+	if err := json.Unmarshal(body, request); err != nil {
+		return nil, refusal.New(refusal.BadRequest, "the body is no valid chat request: "+err.Error())
+	}
+	switch {
+	case request.Model == "":
+		return nil, refusal.New(refusal.BadRequest, "model is missing: name a model")
+	case len(request.Messages) == 0:
+		return nil, refusal.New(refusal.BadRequest, "messages is empty: send at least one")
+	case request.MaxTokens < 0 || request.MaxTokens > maxTokensLimit:
+		return nil, refusal.New(refusal.BadRequest, "max_tokens is out of range: use 0 to 1048576")
+	case request.ContinueFinalMessage:
+		return nil, refusal.New(refusal.BadRequest, "continue_final_message is reserved for the routers: leave it out")
+	}
+	return request, nil
+}
+
+// newChatAnswer returns the writer that fits the caller's request: events, or
+// one JSON body.
+func (s *Server) newChatAnswer(w http.ResponseWriter, info callInfo, request *engineapi.ChatRequest) chatAnswer {
+	if request.Stream {
+		return newEventAnswer(w, info, request.Model, time.Now(), s.metrics)
+	}
+	return newWholeAnswer(w, info, request.Model)
+}
+
+// chatAnswer is a relay.Answer that can also end with a refusal.
+type chatAnswer interface {
+	relay.Answer
+	// Started reports whether part of the answer has been sent.
+	Started() bool
+	// Fail ends a started answer with a refusal.
+	Fail(refused *refusal.Refusal)
+	// Writer returns the response of an answer that has not started.
+	Writer() http.ResponseWriter
+}
+
+func (s *Server) endRefused(answer chatAnswer, refused *refusal.Refusal) {
+	if answer.Started() {
+		s.metrics.refused(refused)
+		answer.Fail(refused)
+		return
+	}
+	s.refuse(answer.Writer(), callInfo{requestID: answer.Writer().Header().Get(HeaderRequestID)}, refused)
+}
--- /dev/null
+++ b/internal/router/events.go
@@ -0,0 +1,134 @@
+package router
+
+import (
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/tmaxmax/go-sse"
+
+	"github.com/verbenatrail/verbenatrail/internal/engineapi"
+	"github.com/verbenatrail/verbenatrail/internal/peerpb"
+	"github.com/verbenatrail/verbenatrail/internal/refusal"
+	"github.com/verbenatrail/verbenatrail/internal/relay"
+)
+
+// errNoChat marks a part of an answer that a chat can't contain.
+var errNoChat = errors.New("a chat's answer carries tokens only")
+
+// errNoService marks a token in the response of a service.
+var errNoService = errors.New("a service's response carries no tokens")
+
+// eventAnswer writes an answer as server-sent events.
+type eventAnswer struct {
+	w          http.ResponseWriter
+	controller *http.ResponseController
+	info       callInfo
+	model      string
+	received   time.Time
+	metrics    *serverMetrics
+	started    bool
+	tokens     int
+}
+
+func newEventAnswer(w http.ResponseWriter, info callInfo, model string, received time.Time, m *serverMetrics) *eventAnswer {
+	return &eventAnswer{
+		w: w, controller: http.NewResponseController(w), info: info, model: model, received: received, metrics: m,
+	}
+}
+
+func (a *eventAnswer) Started() bool               { return a.started }
+func (a *eventAnswer) Writer() http.ResponseWriter { return a.w }
+
+// Head implements relay.Answer. The response starts with the first token, so
+// that a refusal before it has a status of its own.
+func (a *eventAnswer) Head(head *peerpb.ResponseHead) error {
+	a.w.Header().Set(HeaderUpstream, head.GetUpstream())
+	return nil
+}
+
+// Token implements relay.Answer.
+func (a *eventAnswer) Token(position relay.Position, text string) error {
+	a.start()
+	a.tokens++
+	chunk := newChunk(a.info.requestID, a.model)
+	chunk.Choices[0].Delta.Content = text
+	return a.send(position.String(), "", chunk)
+}
+
+// Body implements relay.Answer.
+func (a *eventAnswer) Body([]byte) error { return errNoChat }
+
+// End implements relay.Answer.
+func (a *eventAnswer) End(end *peerpb.AnswerEnd) error {
+	a.start()
+	chunk := newChunk(a.info.requestID, a.model)
+	reason := end.GetFinishReason()
+	chunk.Choices[0].FinishReason = &reason
+	chunk.Usage = usage(end, a.tokens)
+	if err := a.send("", "", chunk); err != nil {
+		return err
+	}
+	return a.write("", "", engineapi.DoneMarker)
+}
+
+// Fail implements chatAnswer. The missing end marker tells the caller that the
+// answer isn't whole.
+func (a *eventAnswer) Fail(refused *refusal.Refusal) {
+	_ = a.write("", EventError, string(refused.JSON(a.info.requestID)))
+}
+
+func (a *eventAnswer) start() {
+	if a.started {
+		return
+	}
+	a.started = true
+	a.metrics.firstToken.UpdateSince(a.received)
+	header := a.w.Header()
+	header.Set("Content-Type", "text/event-stream")
+	header.Set("Cache-Control", "no-store")
+	a.w.WriteHeader(http.StatusOK)
+}
+
+func (a *eventAnswer) send(id, eventType string, chunk *engineapi.ChatChunk) error {
+	data, err := json.Marshal(chunk)
+	if err != nil {
+		return errors.Wrap(err, "encode chunk")
+	}
+	return a.write(id, eventType, string(data))
+}
+
+func (a *eventAnswer) write(id, eventType, data string) error {
+	message := &sse.Message{}
+	if id != "" {
+		message.ID = sse.ID(id)
+	}
+	if eventType != "" {
+		message.Type = sse.Type(eventType)
+	}
+	message.AppendData(data)
+	if err := a.controller.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+		return err
+	}
+	if _, err := message.WriteTo(a.w); err != nil {
+		return err
+	}
+	return a.controller.Flush()
+}
+
+func newChunk(requestID, model string) *engineapi.ChatChunk {
+	return &engineapi.ChatChunk{
+		ID: requestID, Object: "chat.completion.chunk", Model: model,
+		Choices: []engineapi.Choice{{}},
+	}
+}
+
+func usage(end *peerpb.AnswerEnd, tokens int) *engineapi.Usage {
+	completion := max(tokens, int(end.GetCompletionTokens()))
+	return &engineapi.Usage{
+		PromptTokens: int(end.GetPromptTokens()), CompletionTokens: completion,
+		TotalTokens:         int(end.GetPromptTokens()) + completion,
+		PromptTokensDetails: engineapi.PromptDetails{CachedTokens: int(end.GetCachedTokens())},
+	}
+}
--- /dev/null
+++ b/internal/router/request.go
@@ -0,0 +1,141 @@
+package router
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"os"
+	"strconv"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/pkg/errors"
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/propagation"
+
+	"github.com/verbenatrail/verbenatrail/internal/fleet"
+	"github.com/verbenatrail/verbenatrail/internal/refusal"
+)
+
+// maxNameBytes bounds names that callers send in headers.
+const maxNameBytes = 256
+
+// callInfo is what every call carries besides its content.
+type callInfo struct {
+	requestID string
+	workspace string
+	chat      string
+	priority  fleet.Priority
+	timeout   time.Duration
+}
+
+// readInfo reads and checks the headers that all calls share.
+func (s *Server) readInfo(r *http.Request) (callInfo, *refusal.Refusal) {
+	info := callInfo{requestID: uuid.NewString(), timeout: s.settings.DefaultTimeout.Std()}
+	info.workspace = r.Header.Get(HeaderWorkspace)
+	info.chat = r.Header.Get(HeaderChat)
+	if info.workspace == "" {
+		return info, refusal.New(refusal.UnknownWorkspace, "header "+HeaderWorkspace+" is missing: name the workspace")
+	}
+	if len(info.workspace) > maxNameBytes || len(info.chat) > maxNameBytes {
+		return info, refusal.New(refusal.HeadersTooLarge, "a name in the headers is longer than 256 bytes: shorten it")
+	}
+	if refused := s.readTimeout(r, &info); refused != nil {
+		return info, refused
+	}
+	return info, s.readPriority(r, &info)
+}
+
+func (s *Server) readTimeout(r *http.Request, info *callInfo) *refusal.Refusal {
+	text := r.Header.Get(HeaderTimeoutMS)
+	if text == "" {
+		return nil
+	}
+	millis, err := strconv.ParseUint(text, 10, 31)
+	if err != nil || millis == 0 {
+		return refusal.New(refusal.BadRequest, HeaderTimeoutMS+" is no positive number of milliseconds: correct it")
+	}
+	info.timeout = min(time.Duration(millis)*time.Millisecond, s.settings.MaxTimeout.Std())
+	return nil
+}
+
+// readPriority takes the workspace's class, or a lower one that the caller asks for.
+func (s *Server) readPriority(r *http.Request, info *callInfo) *refusal.Refusal {
+	highest := fleet.PriorityNormal
+	if snapshot := s.config(); snapshot != nil {
+		if workspace := snapshot.Workspaces[info.workspace]; workspace != nil {
+			highest = workspace.Priority
+		}
+	}
+	info.priority = highest
+	text := r.Header.Get(HeaderPriority)
+	if text == "" {
+		return nil
+	}
+	asked, ok := fleet.ParsePriority(text)
+	if !ok {
+		return refusal.New(refusal.BadRequest, HeaderPriority+" must be low, normal or high")
+	}
+	info.priority = min(asked, highest)
+	return nil
+}
+
+// readBody reads the whole body within the bounds of size, time and memory.
+// The returned function frees the memory.
+func (s *Server) readBody(w http.ResponseWriter, r *http.Request) ([]byte, func(), *refusal.Refusal) {
+	size := r.ContentLength
+	if size < 0 {
+		size = s.settings.MaxBodyBytes
+	}
+	if size > s.settings.MaxBodyBytes {
+		return nil, nil, s.bodyTooLarge()
+	}
+	if !s.bodies.TryAcquire(size) {
+		return nil, nil, refusal.New(refusal.Overloaded, "too many request bodies are held: retry after the given time").
+			WithRetryAfter(retryAfterMemory)
+	}
+	release := func() { s.bodies.Release(size) }
+	body, err := s.readWithin(w, r)
+	if err != nil {
+		release()
+		return nil, nil, s.bodyError(err)
+	}
+	return body, release, nil
+}
+
+func (s *Server) readWithin(w http.ResponseWriter, r *http.Request) ([]byte, error) {
+	controller := http.NewResponseController(w)
+	_ = controller.SetReadDeadline(time.Now().Add(s.settings.BodyTimeout.Std()))
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, s.settings.MaxBodyBytes))
+	_ = controller.SetReadDeadline(time.Time{})
+	return body, err
+}
+
+func (s *Server) bodyError(err error) *refusal.Refusal {
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return s.bodyTooLarge()
+	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return refusal.New(refusal.SlowRequest, "the body didn't arrive in time: send it without pauses")
+	}
+	return refusal.New(refusal.BadRequest, "the body is incomplete: "+err.Error())
+}
+
+func (s *Server) bodyTooLarge() *refusal.Refusal {
+	limit := strconv.FormatInt(s.settings.MaxBodyBytes, 10)
+	return refusal.New(refusal.BodyTooLarge, "the body exceeds "+limit+" bytes: shorten it")
+}
+
+// traceContext continues the caller's trace.
+func traceContext(r *http.Request) context.Context {
+	carrier := propagation.HeaderCarrier(r.Header)
+	return otel.GetTextMapPropagator().Extract(r.Context(), carrier)
+}
+
+// traceparent returns the header that continues the trace at the next hop.
+func traceparent(ctx context.Context) string {
+	carrier := propagation.MapCarrier{}
+	otel.GetTextMapPropagator().Inject(ctx, carrier)
+	return carrier.Get("traceparent")
+}
--- /dev/null
+++ b/internal/router/server.go
@@ -0,0 +1,123 @@
+package router
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/trace"
+	"golang.org/x/sync/semaphore"
+
+	"github.com/verbenatrail/verbenatrail/internal/fleet"
+	"github.com/verbenatrail/verbenatrail/internal/peerpb"
+	"github.com/verbenatrail/verbenatrail/internal/refusal"
+	"github.com/verbenatrail/verbenatrail/internal/relay"
+)
+
+const (
+	retryAfterMemory  = time.Second
+	readHeaderTimeout = 5 * time.Second
+	idleTimeout       = 2 * time.Minute
+	maxHeaderBytes    = 16 << 10
+	// writeTimeout bounds one write to a caller that no longer reads.
+	writeTimeout = 10 * time.Second
+	tracerName   = "verbenatrail/router"
+)
+
+// Actions runs non-idempotent calls, at the holder of the key's claim slot.
+type Actions interface {
+	RunAction(ctx context.Context, request *peerpb.ActionRequest) (*peerpb.ActionResult, *refusal.Refusal)
+}
+
+// Options are what a Server needs. All fields are required.
+type Options struct {
+	Settings Settings
+	Config   func() *fleet.Snapshot
+	Relay    *relay.Relay
+	Actions  Actions
+	// MoveTo returns another router's address while this one is leaving, and
+	// an empty string otherwise.
+	MoveTo   func() string
+	Registry metrics.Registry
+}
+
+// Server serves callers. It is safe for concurrent use.
+type Server struct {
+	settings Settings
+	config   func() *fleet.Snapshot
+	relay    *relay.Relay
+	actions  Actions
+	moveTo   func() string
+	metrics  *serverMetrics
+	bodies   *semaphore.Weighted
+	open     atomic.Int64
+	tracer   trace.Tracer
+}
+
+// NewServer returns a server.
+func NewServer(o Options) *Server {
+	return &Server{
+		settings: o.Settings, config: o.Config, relay: o.Relay, actions: o.Actions, moveTo: o.MoveTo,
+		metrics: newServerMetrics(o.Registry),
+		bodies:  semaphore.NewWeighted(o.Settings.MaxHeldBodyBytes),
+		tracer:  otel.Tracer(tracerName),
+	}
+}
+
+// ServeHTTP implements http.Handler.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if moveTo := s.moveTo(); moveTo != "" {
+		w.Header().Set(HeaderMoveTo, moveTo)
+		w.Header().Set("Connection", "close")
+	}
+	ctx, span := s.tracer.Start(traceContext(r), "router "+r.Method,
+		trace.WithAttributes(attribute.String("http.request.method", r.Method), attribute.String("url.path", r.URL.Path)))
+	defer span.End()
+	info, refused := s.readInfo(r)
+	w.Header().Set(HeaderRequestID, info.requestID)
+	if refused != nil {
+		s.refuse(w, info, refused)
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, info.timeout)
+	defer cancel()
+	s.metrics.requests.Inc(1)
+	s.metrics.open.Update(s.open.Add(1))
+	defer func() { s.metrics.open.Update(s.open.Add(-1)) }()
+	s.route(w, r.WithContext(ctx), info)
+}
+
+func (s *Server) route(w http.ResponseWriter, r *http.Request, info callInfo) {
+	switch {
+	case r.URL.Path == PathChat:
+		s.serveChat(w, r, info)
+	case strings.HasPrefix(r.URL.Path, PathServices):
+		s.serveService(w, r, info)
+	default:
+		s.refuse(w, info, refusal.New(refusal.UnknownService,
+			"no such path: use "+PathChat+" or "+PathServices+"{service}/{path}"))
+	}
+}
+
+// refuse sends a refusal as the whole response, at once.
+func (s *Server) refuse(w http.ResponseWriter, info callInfo, refused *refusal.Refusal) {
+	s.metrics.refused(refused)
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeTimeout))
+	refused.WriteHTTP(w, info.requestID)
+}
+
+// NewHTTPServer returns the HTTP server for callers, with bounds on slow and
+// oversized headers.
+func NewHTTPServer(handler http.Handler) *http.Server {
+	return &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: readHeaderTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+	}
+}
--- /dev/null
+++ b/internal/router/service.go
@@ -0,0 +1,198 @@
+package router
+
+import (
+	"net/http"
+	"path"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/verbenatrail/verbenatrail/internal/fleet"
+	"github.com/verbenatrail/verbenatrail/internal/peerpb"
+	"github.com/verbenatrail/verbenatrail/internal/refusal"
+	"github.com/verbenatrail/verbenatrail/internal/relay"
+	"github.com/verbenatrail/verbenatrail/internal/serviceclient"
+)
+
+// actionKeyVersion is the UUID version that carries the time of issue.
+const actionKeyVersion = 7
+
+func (s *Server) serveService(w http.ResponseWriter, r *http.Request, info callInfo) {
+	name, target := splitServicePath(r)
+	service, refused := s.service(info.workspace, name)
+	if refused != nil {
+		s.refuse(w, info, refused)
+		return
+	}
+	if refused := target.check(); refused != nil {
+		s.refuse(w, info, refused)
+		return
+	}
+	body, release, refused := s.readBody(w, r)
+	if refused != nil {
+		s.refuse(w, info, refused)
+		return
+	}
+	defer release()
+	call := &peerpb.ServiceCall{Service: name, Method: r.Method, Path: target.escaped, Headers: callHeaders(r), Body: body}
+	if service.Idempotent(r.Method, target.decoded) {
+		s.serveIdempotent(w, r, info, call)
+		return
+	}
+	s.serveAction(w, r, info, call)
+}
+
+// servicePath is the part of a call's URL below the service's name.
+type servicePath struct {
+	// escaped is sent to the instance, with the query.
+	escaped string
+	// decoded is compared with the declared patterns, without the query.
+	decoded string
+}
+
+// splitServicePath returns the service's name and the path below it.
+func splitServicePath(r *http.Request) (string, servicePath) {
+	name, escaped, _ := strings.Cut(strings.TrimPrefix(r.URL.EscapedPath(), PathServices), "/")
+	_, decoded, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, PathServices), "/")
+	target := servicePath{escaped: "/" + escaped, decoded: "/" + decoded}
+	if r.URL.RawQuery != "" {
+		target.escaped += "?" + r.URL.RawQuery
+	}
+	return name, target
+}
+
+// check refuses dot segments and empty segments: an instance could read such a
+// path as another one than the declared patterns were compared with.
+func (p servicePath) check() *refusal.Refusal {
+	trimmed := strings.TrimSuffix(p.decoded, "/")
+	if trimmed != "" && path.Clean(trimmed) != trimmed {
+		return refusal.New(refusal.BadRequest, "the path has empty or dot segments: send it in its shortest form")
+	}
+	return nil
+}
+
+func (s *Server) service(workspace, name string) (*fleet.Service, *refusal.Refusal) {
+	snapshot := s.config()
+	if snapshot == nil {
+		return nil, refusal.New(refusal.NoConfiguration, "this router has no configuration yet: retry after the given time").
+			WithRetryAfter(retryAfterMemory)
+	}
+	if snapshot.Workspaces[workspace] == nil {
+		return nil, refusal.New(refusal.UnknownWorkspace, "workspace "+workspace+" is not declared: check "+HeaderWorkspace)
+	}
+	service := snapshot.Services[name]
+	if service == nil {
+		return nil, refusal.New(refusal.UnknownService, "service "+name+" is not declared: check the path")
+	}
+	return service, nil
+}
+
+func (s *Server) serveIdempotent(w http.ResponseWriter, r *http.Request, info callInfo, call *peerpb.ServiceCall) {
+	deadline, _ := r.Context().Deadline()
+	answer := &responseAnswer{w: w}
+	refused := s.relay.Serve(r.Context(), relay.Call{
+		RequestID: info.requestID, Workspace: info.workspace, Affinity: info.requestID,
+		Target: call.GetService(), Kind: fleet.KindService, Priority: info.priority, Deadline: deadline,
+		Fingerprint: relay.Fingerprint(info.workspace, call.GetMethod(), call.GetPath(), string(call.GetBody())),
+		Traceparent: traceparent(r.Context()), Service: call,
+	}, answer)
+	if refused == nil {
+		return
+	}
+	if answer.started {
+		// The status is sent already: only a cut connection tells the caller.
+		panic(http.ErrAbortHandler)
+	}
+	s.refuse(w, info, refused)
+}
+
+func (s *Server) serveAction(w http.ResponseWriter, r *http.Request, info callInfo, call *peerpb.ServiceCall) {
+	key, refused := actionKey(r)
+	if refused != nil {
+		s.refuse(w, info, refused)
+		return
+	}
+	result, refused := s.actions.RunAction(r.Context(), &peerpb.ActionRequest{
+		RequestId: info.requestID, Workspace: info.workspace, ActionKey: key.String(), Call: call,
+		ConfigRevision: s.config().Revision, TimeoutMs: uint32(info.timeout.Milliseconds()),
+		Traceparent: traceparent(r.Context()),
+	})
+	if refused != nil {
+		s.refuse(w, info, refused)
+		return
+	}
+	writeAction(w, result)
+}
+
+func actionKey(r *http.Request) (uuid.UUID, *refusal.Refusal) {
+	text := r.Header.Get(HeaderActionKey)
+	if text == "" {
+		return uuid.Nil, refusal.New(refusal.ActionKeyMissing,
+			"this call may not be repeated and needs "+HeaderActionKey+": send a UUID version 7 and keep it for resends")
+	}
+	key, err := uuid.Parse(text)
+	if err != nil || key.Version() != actionKeyVersion {
+		return uuid.Nil, refusal.New(refusal.ActionKeyInvalid, HeaderActionKey+" is no UUID version 7: make a new one for each action")
+	}
+	return key, nil
+}
+
+func writeAction(w http.ResponseWriter, result *peerpb.ActionResult) {
+	copyHeaders(w.Header(), result.GetHeaders())
+	w.Header().Set(HeaderOutcome, string(refusal.Done))
+	if result.GetReplayed() {
+		w.Header().Set(HeaderReplayed, "true")
+	}
+	if result.GetBodyOmitted() {
+		w.Header().Set(HeaderBodyOmitted, "true")
+	}
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeTimeout))
+	w.WriteHeader(int(result.GetStatus()))
+	_, _ = w.Write(result.GetBody())
+}
+
+// callHeaders returns the caller's headers without those meant for routers.
+func callHeaders(r *http.Request) []*peerpb.Header {
+	header := r.Header.Clone()
+	for _, name := range []string{HeaderWorkspace, HeaderChat, HeaderPriority, HeaderTimeoutMS} {
+		header.Del(name)
+	}
+	return serviceclient.PassedHeaders(header)
+}
+
+func copyHeaders(to http.Header, headers []*peerpb.Header) {
+	for _, header := range headers {
+		to.Add(header.GetName(), header.GetValue())
+	}
+}
+
+// responseAnswer writes a service's response.
+type responseAnswer struct {
+	w       http.ResponseWriter
+	started bool
+}
+
+// Head implements relay.Answer.
+func (a *responseAnswer) Head(head *peerpb.ResponseHead) error {
+	a.started = true
+	copyHeaders(a.w.Header(), head.GetHeaders())
+	a.w.Header().Set(HeaderUpstream, head.GetUpstream())
+	a.w.WriteHeader(int(head.GetStatus()))
+	return nil
+}
+
+// Token implements relay.Answer.
+func (a *responseAnswer) Token(relay.Position, string) error {
+	return errNoService
+}
+
+// Body implements relay.Answer.
+func (a *responseAnswer) Body(data []byte) error {
+	_ = http.NewResponseController(a.w).SetWriteDeadline(time.Now().Add(writeTimeout))
+	_, err := a.w.Write(data)
+	return err
+}
+
+// End implements relay.Answer.
+func (a *responseAnswer) End(*peerpb.AnswerEnd) error { return nil }
--- /dev/null
+++ b/internal/router/whole.go
@@ -0,0 +1,77 @@
+package router
+
+import (
+	"encoding/json"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/verbenatrail/verbenatrail/internal/engineapi"
+	"github.com/verbenatrail/verbenatrail/internal/peerpb"
+	"github.com/verbenatrail/verbenatrail/internal/refusal"
+	"github.com/verbenatrail/verbenatrail/internal/relay"
+)
+
+// wholeAnswer collects an answer and writes it as one JSON body.
+type wholeAnswer struct {
+	w      http.ResponseWriter
+	info   callInfo
+	model  string
+	text   strings.Builder
+	tokens int
+}
+
+// Completion is the body of an answer that isn't streamed.
+type Completion struct {
+	ID      string             `json:"id"`
+	Object  string             `json:"object"`
+	Model   string             `json:"model"`
+	Choices []CompletionChoice `json:"choices"`
+	Usage   *engineapi.Usage   `json:"usage"`
+}
+
+// CompletionChoice is the content of a Completion.
+type CompletionChoice struct {
+	Index        int               `json:"index"`
+	Message      engineapi.Message `json:"message"`
+	FinishReason string            `json:"finish_reason"`
+}
+
+func newWholeAnswer(w http.ResponseWriter, info callInfo, model string) *wholeAnswer {
+	return &wholeAnswer{w: w, info: info, model: model}
+}
+
+func (a *wholeAnswer) Started() bool               { return false }
+func (a *wholeAnswer) Writer() http.ResponseWriter { return a.w }
+func (a *wholeAnswer) Fail(*refusal.Refusal)       {}
+
+// Head implements relay.Answer.
+func (a *wholeAnswer) Head(head *peerpb.ResponseHead) error {
+	a.w.Header().Set(HeaderUpstream, head.GetUpstream())
+	return nil
+}
+
+// Token implements relay.Answer.
+func (a *wholeAnswer) Token(_ relay.Position, text string) error {
+	a.tokens++
+	a.text.WriteString(text)
+	return nil
+}
+
+// Body implements relay.Answer.
+func (a *wholeAnswer) Body([]byte) error { return errNoChat }
+
+// End implements relay.Answer.
+func (a *wholeAnswer) End(end *peerpb.AnswerEnd) error {
+	completion := Completion{
+		ID: a.info.requestID, Object: "chat.completion", Model: a.model,
+		Choices: []CompletionChoice{{
+			Message:      engineapi.Message{Role: "assistant", Content: a.text.String()},
+			FinishReason: end.GetFinishReason(),
+		}},
+		Usage: usage(end, a.tokens),
+	}
+	a.w.Header().Set("Content-Type", "application/json")
+	_ = http.NewResponseController(a.w).SetWriteDeadline(time.Now().Add(writeTimeout))
+	return json.NewEncoder(a.w).Encode(completion)
+}
