Owner: estimate the load of a former owner during an overlap

After a change of the view two routers may admit requests for one engine. The new owner reads the engine's own, lagging report for a while, subtracts what it had itself in flight when the report was taken, and counts the rest against its bound.

--- a/internal/owner/gate.go
+++ b/internal/owner/gate.go
@@ -22,6 +22,8 @@
 type gate struct {
 	name string
 	pool uint32
+	// owned is guarded by the gateSet: this router owns the upstream.
+	owned bool
 
 	mu        sync.Mutex
 	scheduler *admission.Scheduler
--- a/internal/owner/gateset.go
+++ b/internal/owner/gateset.go
@@ -7,6 +7,7 @@
 
 	"github.com/verbenatrail/verbenatrail/internal/cluster"
 	"github.com/verbenatrail/verbenatrail/internal/fleet"
+	"github.com/verbenatrail/verbenatrail/internal/placement"
 )
 
 // gateSet holds the gates of all upstreams that this router has served.
@@ -15,6 +16,10 @@
 
 	mu    sync.Mutex
 	gates map[string]*gate
+	// topology is the view for which ownership was computed last.
+	topology uint64
+	// overlaps are gates whose upstream may still run a former owner's requests.
+	overlaps []*gate
 }
 
 func newGateSet(options Options) *gateSet {
@@ -30,10 +35,38 @@
 		g = newGate(upstream.Name, s.poolHash(upstream), s.options.Settings.Admission, upstream.Capacity)
 		g.scheduler.SetMean(time.Now(), s.mean(upstream))
 		s.gates[upstream.Name] = g
+		s.overlaps = append(s.overlaps, g)
 	}
 	return g
 }
 
+// takeOverlaps returns the gates that became this router's since the last call.
+func (s *gateSet) takeOverlaps() []*gate {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.updateOwnership()
+	overlaps := s.overlaps
+	s.overlaps = nil
+	return overlaps
+}
+
+// updateOwnership notes the gates whose ownership returned to this router.
+func (s *gateSet) updateOwnership() {
+	view := s.options.View()
+	if view.Topology == s.topology {
+		return
+	}
+	s.topology = view.Topology
+	for _, g := range s.gates {
+		name, _ := placement.Owner(g.name, view.Owners)
+		owned := name == s.options.Self
+		if owned && !g.owned {
+			s.overlaps = append(s.overlaps, g)
+		}
+		g.owned = owned
+	}
+}
+
 func (s *gateSet) poolHash(upstream *fleet.Upstream) uint32 {
 	snapshot := s.options.Config()
 	if snapshot == nil || upstream.Pool >= len(snapshot.Pools) {
--- a/internal/owner/metrics.go
+++ b/internal/owner/metrics.go
@@ -13,6 +13,7 @@
 	PromptTokens   metrics.Counter
 	CachedTokens   metrics.Counter
 	QueueWait      metrics.Timer
+	LoadReports    metrics.Counter
 }
 
 // NewMetrics registers the metrics.
@@ -26,6 +27,7 @@
 		Crashes:        metrics.NewRegisteredCounter("owner.upstream_crashes.events", registry),
 		PromptTokens:   metrics.NewRegisteredCounter("owner.prompt.tokens", registry),
 		CachedTokens:   metrics.NewRegisteredCounter("owner.cached_prompt.tokens", registry),
+		LoadReports:    metrics.NewRegisteredCounter("owner.load_reports.requests", registry),
 		QueueWait:      metrics.NewRegisteredTimer("owner.queue_wait.nanoseconds", registry),
 	}
 }
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -88,6 +88,9 @@
 			return nil
 		case now := <-ticker.C:
 			o.gates.tick(now)
+			for _, g := range o.gates.takeOverlaps() {
+				go o.watchOverlap(ctx, g)
+			}
 		}
 	}
 }
