--- a/internal/configstore/committer_test.go
+++ b/internal/configstore/committer_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/verbenatrail/verbenatrail/internal/declare"
 	"github.com/verbenatrail/verbenatrail/internal/fleet"
+	"github.com/verbenatrail/verbenatrail/internal/kv"
 	"github.com/verbenatrail/verbenatrail/internal/kv/kvmem"
 )
 
@@ -165,21 +166,35 @@
 	}
 }
 
+// TestOutcomeUnknownOnlyWhenNotSettled has the service fail for good, before or
+// after a write was sent.
 func TestOutcomeUnknownOnlyWhenNotSettled(t *testing.T) {
-	f := &faults{}
-	store := kvmem.New(kvmem.Options{Fault: f.next})
-	ctx, cancel := context.WithCancel(context.Background())
-	c := NewCommitter(CommitterOptions{Store: store, Author: "ana", Sleep: func(context.Context, time.Duration) { cancel() }})
-	p, err := c.prepare(ctx, 0, []declare.Change{engineChange("a", "1")})
-	if err != nil {
-		t.Fatal(err)
-	}
-	f.outage(true)
-	if _, err := c.settle(ctx, p); errors.Is(err, ErrOutcomeUnknown) || err == nil {
-		t.Fatal("nothing was sent, so nothing is unknown:", err)
+	for first, unknown := range map[kvmem.Fault]bool{
+		kvmem.FaultRefused: false, kvmem.FaultRateLimited: false, kvmem.FaultLost: true, kvmem.FaultReplyLost: true,
+	} {
+		f := &faults{}
+		store := kvmem.New(kvmem.Options{Fault: f.next})
+		ctx, cancel := context.WithCancel(context.Background())
+		c := NewCommitter(CommitterOptions{Store: store, Author: "ana", Sleep: func(context.Context, time.Duration) { cancel() }})
+		p, err := c.prepare(ctx, 0, []declare.Change{engineChange("a", "1")})
+		if err != nil {
+			t.Fatal(err)
+		}
+		f.set(first)
+		c.reader = NewReader(failingStore{})
+		if _, err := c.settle(ctx, p); err == nil || errors.Is(err, ErrOutcomeUnknown) != unknown {
+			t.Fatal(first, err)
+		}
 	}
 }
 
+// failingStore answers no read.
+type failingStore struct{ kv.Store }
+
+func (failingStore) Get(context.Context, string) (kv.Entry, error) {
+	return kv.Entry{}, kv.ErrUnavailable
+}
+
 // TestRacingOperators has operators rebase on each conflict; every accepted
 // change must be in the end result.
 func TestRacingOperators(t *testing.T) {
--- a/internal/configstore/manager_test.go
+++ b/internal/configstore/manager_test.go
@@ -183,6 +183,12 @@
 	n.await(t, 1)
 	mustCommit(t, committer(store, "ana"), 1, engineChange("a", "2"))
 	n.await(t, 2)
+	silent := n.get("0").counters.silent
+	for deadline := time.Now().Add(waitLimit); silent.Count() == 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatal("the silent watch is kept")
+		}
+	}
 }
 
 func TestOversizedCommitAndCompactedWatch(t *testing.T) {
