--- a/internal/engineclient/client.go
+++ b/internal/engineclient/client.go
@@ -28,6 +28,8 @@
 	ErrCrossed = errors.New("engine sent a token of another answer: resume on a new connection")
 	// ErrRejected means that the engine answered with an error and ran nothing.
 	ErrRejected = errors.New("engine rejected the request: ask another engine")
+	// ErrLeaving means that the engine takes no new work.
+	ErrLeaving = errors.New("engine is leaving: ask another engine")
 	// ErrStreamGone means that the engine no longer holds the stream.
 	ErrStreamGone = errors.New("engine no longer holds the stream: start the answer again")
 )
@@ -142,5 +144,8 @@
 	if status == http.StatusNotFound || status == http.StatusGone {
 		return ErrStreamGone
 	}
+	if status == http.StatusServiceUnavailable {
+		return ErrLeaving
+	}
 	return errors.Wrapf(ErrRejected, "status %d", status)
 }
--- a/internal/owner/chat.go
+++ b/internal/owner/chat.go
@@ -167,6 +167,9 @@
 	case errors.Is(err, engineclient.ErrNotStarted):
 		r.owner.Report(name, membership.ConnRefused)
 		return refusal.New(refusal.UpstreamFailed, "engine "+name+" can't be reached: try another").WithRetryAfter(retryAfterFailure)
+	case errors.Is(err, engineclient.ErrLeaving):
+		r.owner.Report(name, membership.ConnLeaving)
+		return refusal.New(refusal.Leaving, "engine "+name+" is leaving: try another").WithRetryAfter(retryAfterBusy)
 	case errors.Is(err, engineclient.ErrRejected):
 		return refusal.New(refusal.UpstreamFailed, "engine "+name+" rejected the request: try another").WithRetryAfter(retryAfterFailure)
 	case errors.Is(err, engineclient.ErrBroken):
