--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -114,6 +114,42 @@
 	}
 }
 
+func TestFullPoolRaisesTheBoundStepByStep(t *testing.T) {
+	s := New(DefaultSettings(), 0)
+	s.SetMean(at(0), 8)
+	admitted := 0
+	for id := range uint64(30) {
+		r := request(id, "a")
+		r.MayWait, r.PoolFull = false, true
+		if s.Offer(at(0), r).Verdict == Admitted {
+			admitted++
+		}
+	}
+	if limit := 10; s.Limit(at(0)) != limit || admitted != limit {
+		t.Fatalf("limit %d, %d admitted", s.Limit(at(0)), admitted)
+	}
+	if got := s.Limit(at(2 * time.Second)); got != 9 {
+		t.Fatalf("limit %d after the raise has lapsed", got)
+	}
+}
+
+func TestFlexibleRequestLeavesThePlacesAboveTheMean(t *testing.T) {
+	s := New(DefaultSettings(), 0)
+	s.SetMean(at(0), 2)
+	for id := range uint64(2) {
+		s.Offer(at(0), request(id, "a"))
+	}
+	r := request(9, "a")
+	r.MayWait, r.Flexible = false, true
+	if d := s.Offer(at(0), r); d.Reason != ReasonAboveMean {
+		t.Fatalf("got %+v", d)
+	}
+	r.Flexible = false
+	if d := s.Offer(at(0), r); d.Verdict != Admitted {
+		t.Fatalf("got %+v", d)
+	}
+}
+
 func TestForeignLoadCountsAgainstTheBound(t *testing.T) {
 	s := New(DefaultSettings(), 2)
 	s.SetMean(at(0), 8)
--- a/internal/admission/scheduler.go
+++ b/internal/admission/scheduler.go
@@ -53,7 +53,11 @@
 	if reason := s.refusalFor(now, r); reason != ReasonNone {
 		return s.refuse(now, reason)
 	}
-	if s.mayStart(now, r.Workspace) {
+	switch {
+	case !s.mayStart(now, r.Workspace):
+	case s.placesKeptFrom(now, r):
+		return s.refuse(now, ReasonAboveMean)
+	default:
 		s.queue.chargeDirect(r)
 		s.start(now, r)
 		return Decision{Verdict: Admitted}
@@ -234,6 +238,12 @@
 	return float64(s.held[workspace]) < s.settings.QuietFraction*float64(limit)
 }
 
+// placesKeptFrom reports whether a request may not take the places left, as
+// they are kept for returning chats.
+func (s *Scheduler) placesKeptFrom(now time.Time, r Request) bool {
+	return r.Flexible && s.load() >= s.bound.flexibleLimit(now)
+}
+
 func (s *Scheduler) reserved() int {
 	return int(float64(s.bound.capacity) * s.settings.ReservedFraction)
 }
--- a/internal/admission/types.go
+++ b/internal/admission/types.go
@@ -58,6 +58,10 @@
 	// Cost is the expected work in any unit that all requests share; zero and
 	// less count as 1.
 	Cost float64
+	// Flexible says that the request loses nothing by running elsewhere, since no
+	// part of its prompt is cached here. It starts only below the mean, so that
+	// the places up to the bound are left to returning chats.
+	Flexible bool
 	// PoolFull says that all other engines of the pool have refused this
 	// request for their bound just now. It proves that the mean is at least
 	// this engine's bound, before any average arrives.
@@ -82,6 +86,8 @@
 	ReasonNone Reason = iota
 	// ReasonOverBound: the engine is at its bound and the request may not wait.
 	ReasonOverBound
+	// ReasonAboveMean: the engine has room, but not for a flexible request.
+	ReasonAboveMean
 	// ReasonQueueFull: too many requests wait.
 	ReasonQueueFull
 	// ReasonDeadline: the request can't start before its deadline.
@@ -97,6 +103,8 @@
 	switch r {
 	case ReasonOverBound:
 		return "over_bound"
+	case ReasonAboveMean:
+		return "above_mean"
 	case ReasonQueueFull:
 		return "queue_full"
 	case ReasonDeadline:
@@ -115,7 +123,7 @@
 	Verdict Verdict
 	Reason  Reason
 	// RetryAfter is the expected time until the engine can take a request; set
-	// with ReasonOverBound, ReasonQueueFull and ReasonDeadline.
+	// unless the reason is ReasonDraining or ReasonDuplicate.
 	RetryAfter time.Duration
 	// Effects concern other requests than the offered one.
 	Effects []Effect
--- /dev/null
+++ b/internal/placement/asks.go
@@ -0,0 +1,66 @@
+package placement
+
+import "time"
+
+// Ask is one question to the owner of an engine: does it take the request now?
+type Ask struct {
+	Upstream string
+	// Flexible asks for a place below the mean, see admission.Request.
+	Flexible bool
+	// Wait is how long the request may wait for a place; zero for not at all.
+	Wait time.Duration
+	// LastResort lets the request wait up to its own deadline.
+	LastResort bool
+	// PoolFull says that all engines of the pool have been asked before.
+	PoolFull bool
+}
+
+// AskOptions describe a request to Asks.
+type AskOptions struct {
+	// Cached is the number of upstreams at the front of the rank that are likely
+	// to hold part of the prompt in their cache, the one with the most first.
+	Cached int
+	// Patience is how long the request waits at the first of these.
+	Patience time.Duration
+	// Probes is the most upstreams that are asked.
+	Probes int
+}
+
+// Asks returns the questions for a request in order, given the upstreams in
+// rank. Where part of its prompt is cached, a request may use the whole bound,
+// and waits a little at the first choice, as that costs less than computing
+// the prefix again. Elsewhere it first looks for a place below the mean, so as
+// not to take the places of chats that return there. In the end it waits at
+// its first choice. The caller leaves out upstreams that have failed, and
+// those that answered to be at their bound.
+func Asks(ranked []string, o AskOptions) []Ask {
+	if len(ranked) == 0 {
+		return nil
+	}
+	probed := ranked[:min(max(o.Probes, 1), len(ranked))]
+	cached := min(max(o.Cached, 0), len(probed))
+	asks := make([]Ask, 0, 2*len(probed)+1)
+	for _, upstream := range probed[:cached] {
+		asks = append(asks, Ask{Upstream: upstream})
+	}
+	if cached > 0 {
+		asks[0].Wait = o.Patience
+	}
+	for _, upstream := range probed[cached:] {
+		asks = append(asks, Ask{Upstream: upstream, Flexible: true})
+	}
+	for _, upstream := range probed {
+		asks = append(asks, Ask{Upstream: upstream})
+	}
+	whole := len(probed) == len(ranked)
+	return append(asks, Ask{Upstream: probed[0], LastResort: true, PoolFull: whole})
+}
+
+// Patience returns how long waiting for a cached prefix is worth: the time to
+// compute its tokens again, times a factor.
+func Patience(prefixTokens int, tokensPerSecond, factor float64) time.Duration {
+	if tokensPerSecond <= 0 {
+		return 0
+	}
+	return time.Duration(factor * float64(prefixTokens) / tokensPerSecond * float64(time.Second))
+}
--- /dev/null
+++ b/internal/placement/measure_test.go
@@ -0,0 +1,87 @@
+package placement_test
+
+import (
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/verbenatrail/verbenatrail/internal/placement"
+)
+
+const measuredHeadroom = 0.1
+
+func policies() []policy {
+	rendezvous := byStrategy(placement.Rendezvous{})
+	all := []policy{
+		{name: "random", unbounded: true, rank: byStrategy(placement.Random{})},
+		{name: "least-loaded", unbounded: true, rank: byStrategy(placement.LeastLoaded{})},
+		{name: "least-of-two", unbounded: true, rank: byStrategy(placement.LeastOfTwo{})},
+		{name: "modulo", unbounded: true, rank: byStrategy(placement.Modulo{})},
+		{name: "modulo, bounded", rank: byStrategy(placement.Modulo{})},
+		{name: "rendezvous", unbounded: true, rank: rendezvous},
+		{name: "rendezvous, bounded", rank: rendezvous},
+		{name: "  asks, wait x2", planned: true, patience: 2, rank: rendezvous},
+		{name: "  memory", planned: true, remembers: true, rank: rendezvous},
+		{name: "  memory, wait x1", planned: true, remembers: true, patience: 1, rank: rendezvous},
+		{name: "  memory, wait x2", planned: true, remembers: true, patience: 2, rank: rendezvous},
+		{name: "  memory, wait x3", planned: true, remembers: true, patience: 3, rank: rendezvous},
+		{name: "oracle, bounded", rank: oracle},
+		{name: "  asks, wait x2", planned: true, patience: 2, rank: oracle},
+		{name: "oracle, no bound", unbounded: true, rank: oracle},
+	}
+	for i := range all {
+		all[i].headroom = measuredHeadroom
+	}
+	return all
+}
+
+// measureSeed is the seed of the recorded sequence.
+const measureSeed = 1
+
+// TestMeasurePlacement prints reuse and skew of the policies. Set
+// VERBENATRAIL_MEASURE=1 to run it.
+func TestMeasurePlacement(t *testing.T) {
+	if os.Getenv("VERBENATRAIL_MEASURE") == "" {
+		t.Skip("set VERBENATRAIL_MEASURE=1 to measure")
+	}
+	for _, mean := range []float64{3, 8, 20, 60} {
+		arrivals := recordArrivals(mean, measureSeed)
+		fmt.Printf("\nmean in flight %.0f, %d turns, seed %d, headroom %.2f\n", mean, len(arrivals), measureSeed, measuredHeadroom)
+		printHeader()
+		for _, p := range policies() {
+			printResult(p.name, newReplay(p, mean, time.Second).run(arrivals))
+		}
+	}
+}
+
+// TestMeasureHeadroom prints reuse and skew over the headroom and the lag of
+// the mean.
+func TestMeasureHeadroom(t *testing.T) {
+	if os.Getenv("VERBENATRAIL_MEASURE") == "" {
+		t.Skip("set VERBENATRAIL_MEASURE=1 to measure")
+	}
+	for _, mean := range []float64{3, 8, 20, 60} {
+		arrivals := recordArrivals(mean, measureSeed)
+		fmt.Printf("\nmean in flight %.0f, %d turns, seed %d\n", mean, len(arrivals), measureSeed)
+		printHeader()
+		for _, headroom := range []float64{0, 0.05, 0.1, 0.15, 0.2} {
+			p := policy{planned: true, remembers: true, patience: 2, headroom: headroom, rank: byStrategy(placement.Rendezvous{})}
+			printResult(fmt.Sprintf("headroom %.2f", headroom), newReplay(p, mean, time.Second).run(arrivals))
+		}
+		p := policy{planned: true, remembers: true, patience: 2, headroom: measuredHeadroom, rank: byStrategy(placement.Rendezvous{})}
+		printResult("  lag 3 s", newReplay(p, mean, 3*time.Second).run(arrivals))
+	}
+}
+
+func printHeader() {
+	fmt.Println("policy               reuse  samples-over  of-surge  worst-ratio  worst-excess  placed-over  refused  wait-p50  wait-p99")
+}
+
+func printResult(name string, r result) {
+	fmt.Printf("%-20s %.3f  %11.2f%%  %7.2f%%  %11.2f  %12.2f  %10.2f%%  %6.2f%%  %8v  %8v\n", name, r.reuse(),
+		percent(r.over, r.samples), percent(r.overSurge, r.samples), r.worstRatio, r.worstExcess,
+		percent(r.overAtPlacing, r.turns), percent(r.refused, r.turns), r.waitAt(0.5), r.waitAt(0.99))
+}
+
+func percent(part, whole int) float64 { return 100 * float64(part) / float64(whole) }
--- /dev/null
+++ b/internal/placement/memory.go
@@ -0,0 +1,86 @@
+package placement
+
+import (
+	"container/list"
+	"slices"
+)
+
+// Memory remembers where chats ran last, up to a number of chats; the chat
+// that was quiet for longest is forgotten first. Callers connect to the same
+// router for a chat, so each router remembers its own callers' chats. It is
+// not safe for concurrent use.
+type Memory struct {
+	limit   int
+	order   *list.List
+	entries map[uint64]*list.Element
+}
+
+// Places are the upstreams that ran a chat's turns: the last one, and the last
+// one that differs from it; empty where there is none.
+type Places struct {
+	Last     string
+	Previous string
+}
+
+// memoryEntry is the value of a list element.
+type memoryEntry struct {
+	key    uint64
+	places Places
+}
+
+// NewMemory returns an empty Memory for that many chats.
+func NewMemory(limit int) *Memory {
+	return &Memory{limit: max(limit, 1), order: list.New(), entries: make(map[uint64]*list.Element)}
+}
+
+// Remember records the upstream that runs a chat's turn; key is Request.Key.
+func (m *Memory) Remember(key uint64, upstream string) {
+	element, ok := m.entries[key]
+	if !ok {
+		m.entries[key] = m.order.PushFront(&memoryEntry{key: key, places: Places{Last: upstream}})
+		m.forgetOldest()
+		return
+	}
+	m.order.MoveToFront(element)
+	entry := element.Value.(*memoryEntry)
+	if entry.places.Last != upstream {
+		entry.places = Places{Last: upstream, Previous: entry.places.Last}
+	}
+}
+
+// Recall returns where a chat ran; false when it isn't remembered.
+func (m *Memory) Recall(key uint64) (Places, bool) {
+	element, ok := m.entries[key]
+	if !ok {
+		return Places{}, false
+	}
+	return element.Value.(*memoryEntry).places, true
+}
+
+// Len returns the number of chats that are remembered.
+func (m *Memory) Len() int { return m.order.Len() }
+
+func (m *Memory) forgetOldest() {
+	if m.order.Len() <= m.limit {
+		return
+	}
+	oldest := m.order.Back()
+	m.order.Remove(oldest)
+	delete(m.entries, oldest.Value.(*memoryEntry).key)
+}
+
+// Promote moves the upstreams of a chat to the front of a rank, in place, the
+// last one first. It returns how many of them are in the rank.
+func (p Places) Promote(ranked []string) int {
+	promoted := 0
+	for _, name := range []string{p.Last, p.Previous} {
+		i := slices.Index(ranked, name)
+		if i < promoted {
+			continue
+		}
+		copy(ranked[promoted+1:i+1], ranked[promoted:i])
+		ranked[promoted] = name
+		promoted++
+	}
+	return promoted
+}
--- /dev/null
+++ b/internal/placement/replay_test.go
@@ -0,0 +1,477 @@
+package placement_test
+
+import (
+	"container/heap"
+	"container/list"
+	"fmt"
+	"math"
+	"math/rand"
+	"slices"
+	"time"
+
+	"github.com/verbenatrail/verbenatrail/internal/admission"
+	"github.com/verbenatrail/verbenatrail/internal/placement"
+)
+
+// Shape of the recorded sequence that the decisions are fed with.
+const (
+	engineCount      = 12
+	runLength        = 10 * time.Minute
+	warmUp           = 2 * time.Minute
+	replaceInterval  = time.Minute
+	meanInterval     = time.Second
+	sampleInterval   = 100 * time.Millisecond
+	step             = 10 * time.Millisecond
+	thinkTime        = 60 * time.Second
+	decodeTime       = 4 * time.Second
+	turnsPerChat     = 8
+	prefillPerSecond = 8000.0 // tokens
+	surgeStart       = 4 * time.Minute
+	surgeEnd         = 6 * time.Minute
+	surgeFactor      = 10.0
+)
+
+// workspaceShares are the sizes of ten workspaces; the last two surge.
+var workspaceShares = []float64{4, 3, 2, 1, 1, 1, 1, 1, 1, 1}
+
+// arrival is one turn of a chat.
+type arrival struct {
+	at        time.Duration
+	chat      int
+	workspace int
+	prefix    int // tokens of earlier turns
+	added     int // tokens of this turn
+	decode    time.Duration
+}
+
+// recordArrivals draws the sequence for a mean number of requests in flight
+// per engine.
+func recordArrivals(meanInFlight float64, seed int64) []arrival {
+	random := rand.New(rand.NewSource(seed))
+	turnRate := meanInFlight * engineCount / decodeTime.Seconds()
+	var out []arrival
+	chat := 0
+	for workspace, share := range workspaceShares {
+		chatRate := turnRate * share / 16 / turnsPerChat
+		surging := workspace >= len(workspaceShares)-2
+		for at := time.Duration(0); at < runLength; {
+			rate := chatRate
+			if surging && at >= surgeStart && at < surgeEnd {
+				rate *= surgeFactor
+			}
+			at += seconds(random.ExpFloat64() / rate)
+			out = append(out, recordChat(random, chat, workspace, at)...)
+			chat++
+		}
+	}
+	slices.SortFunc(out, func(a, b arrival) int { return int(a.at - b.at) })
+	return out
+}
+
+func recordChat(random *rand.Rand, chat, workspace int, at time.Duration) []arrival {
+	var out []arrival
+	prefix, added := 0, 500+random.Intn(3500)
+	for range turnsPerChat {
+		if at >= runLength {
+			break
+		}
+		decode := seconds(random.ExpFloat64() * decodeTime.Seconds())
+		out = append(out, arrival{at: at, chat: chat, workspace: workspace, prefix: prefix, added: added, decode: decode})
+		prefix += added
+		added = 200 + random.Intn(400)
+		at += seconds(random.ExpFloat64() * thinkTime.Seconds())
+	}
+	return out
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+// prefixCache holds the cached tokens of chats, the least recently used going
+// first.
+type prefixCache struct {
+	capacity, used int
+	order          *list.List
+	entries        map[int]*list.Element
+}
+
+type cacheEntry struct{ chat, tokens int }
+
+func newPrefixCache(capacity int) *prefixCache {
+	return &prefixCache{capacity: capacity, order: list.New(), entries: map[int]*list.Element{}}
+}
+
+func (c *prefixCache) tokens(chat int) int {
+	if e, ok := c.entries[chat]; ok {
+		return e.Value.(*cacheEntry).tokens
+	}
+	return 0
+}
+
+func (c *prefixCache) put(chat, tokens int) {
+	if e, ok := c.entries[chat]; ok {
+		entry := e.Value.(*cacheEntry)
+		c.used += tokens - entry.tokens
+		entry.tokens = tokens
+		c.order.MoveToFront(e)
+	} else {
+		c.entries[chat] = c.order.PushFront(&cacheEntry{chat, tokens})
+		c.used += tokens
+	}
+	for c.used > c.capacity {
+		oldest := c.order.Back()
+		entry := c.order.Remove(oldest).(*cacheEntry)
+		delete(c.entries, entry.chat)
+		c.used -= entry.tokens
+	}
+}
+
+// replayEngine is an engine with its owner's admission state.
+type replayEngine struct {
+	name      string
+	scheduler *admission.Scheduler
+	cache     *prefixCache
+	inFlight  int
+}
+
+// policy decides which engines are asked for a turn, and in which order.
+type policy struct {
+	name string
+	// unbounded sends each turn to the first in rank.
+	unbounded bool
+	// planned asks as placement.Asks plans; otherwise in rank, then waits at the
+	// first.
+	planned bool
+	// remembers puts the engines that ran the chat before in front.
+	remembers bool
+	patience  float64 // factor of placement.Patience
+	headroom  float64
+	rank      func(r *replay, a arrival, nonce uint64) []*replayEngine
+}
+
+// completion ends a request.
+type completion struct {
+	at     time.Duration
+	id     uint64
+	engine *replayEngine
+}
+
+type completions []completion
+
+func (c completions) Len() int           { return len(c) }
+func (c completions) Less(i, j int) bool { return c[i].at < c[j].at }
+func (c completions) Swap(i, j int)      { c[i], c[j] = c[j], c[i] }
+func (c *completions) Push(x any)        { *c = append(*c, x.(completion)) }
+func (c *completions) Pop() any {
+	last := (*c)[len(*c)-1]
+	*c = (*c)[:len(*c)-1]
+	return last
+}
+
+// queuedTurn is a request that waits at an engine.
+type queuedTurn struct {
+	arrival arrival
+	rest    []placement.Ask // put when the wait ends in a refusal
+	since   time.Duration
+}
+
+// replay feeds one recorded sequence through the decisions under one policy.
+type replay struct {
+	policy    policy
+	settings  admission.Settings
+	capacity  int
+	cacheSize int
+	lag       time.Duration
+
+	now     time.Duration
+	engines []*replayEngine
+	created int
+	nonce   uint64
+	done    completions
+	waiting map[uint64]queuedTurn
+	memory  *placement.Memory
+	means   []float64 // history, one a second
+	result  result
+}
+
+// result is what a replay measures after the warm-up.
+type result struct {
+	cached, prefix int
+	samples, over  int
+	overSurge      int // of over, those in the surge or the minute after it
+	worstRatio     float64
+	worstExcess    float64
+	refused, turns int
+	waits          []time.Duration
+	overAtPlacing  int
+}
+
+func (r result) reuse() float64 { return float64(r.cached) / float64(r.prefix) }
+
+func (r result) waitAt(quantile float64) time.Duration {
+	slices.Sort(r.waits)
+	return r.waits[int(quantile*float64(len(r.waits)-1))]
+}
+
+var start = time.Unix(1_700_000_000, 0)
+
+func (r *replay) clock() time.Time { return start.Add(r.now) }
+
+func (r *replay) run(arrivals []arrival) result {
+	r.waiting = map[uint64]queuedTurn{}
+	r.memory = placement.NewMemory(rememberedChats)
+	for range engineCount {
+		r.addEngine()
+	}
+	next := 0
+	for ; r.now < runLength; r.now += step {
+		r.timers()
+		for len(r.done) > 0 && r.done[0].at <= r.now {
+			r.finish(heap.Pop(&r.done).(completion))
+		}
+		for next < len(arrivals) && arrivals[next].at <= r.now {
+			r.arrive(arrivals[next])
+			next++
+		}
+	}
+	return r.result
+}
+
+func (r *replay) addEngine() {
+	r.created++
+	e := &replayEngine{name: fmt.Sprintf("engine-%03d", r.created), cache: newPrefixCache(r.cacheSize)}
+	e.scheduler = admission.New(r.settings, r.capacity)
+	r.engines = append(r.engines, e)
+}
+
+func (r *replay) every(interval time.Duration) bool { return r.now > 0 && r.now%interval == 0 }
+
+func (r *replay) timers() {
+	if r.every(replaceInterval) {
+		leaving := r.engines[0]
+		r.engines = r.engines[1:]
+		r.addEngine()
+		r.apply(leaving, leaving.scheduler.Drain(r.clock()))
+	}
+	if r.every(meanInterval) {
+		r.means = append(r.means, r.mean())
+		lagged := r.means[max(0, len(r.means)-1-int(r.lag/meanInterval))]
+		for _, e := range r.engines {
+			r.apply(e, e.scheduler.SetMean(r.clock(), lagged))
+		}
+	}
+	if r.every(sampleInterval) {
+		for _, e := range r.engines {
+			r.apply(e, e.scheduler.Tick(r.clock()))
+		}
+		r.sample()
+	}
+}
+
+func (r *replay) mean() float64 {
+	sum := 0
+	for _, e := range r.engines {
+		sum += e.inFlight
+	}
+	return float64(sum) / float64(len(r.engines))
+}
+
+// overBound reports whether the highest load breaks the target now.
+func (r *replay) overBound() (ratio, excess float64, over bool) {
+	mean, highest := r.mean(), 0
+	for _, e := range r.engines {
+		highest = max(highest, e.inFlight)
+	}
+	if mean < 4 {
+		excess = float64(highest) - mean
+		return 0, excess, excess > 1
+	}
+	ratio = float64(highest) / mean
+	return ratio, 0, ratio > r.settings.Multiple
+}
+
+func (r *replay) sample() {
+	if r.now < warmUp {
+		return
+	}
+	ratio, excess, over := r.overBound()
+	r.result.samples++
+	r.result.worstRatio = max(r.result.worstRatio, ratio)
+	r.result.worstExcess = max(r.result.worstExcess, excess)
+	if !over {
+		return
+	}
+	r.result.over++
+	if r.now >= surgeStart && r.now < surgeEnd+time.Minute {
+		r.result.overSurge++
+	}
+}
+
+func (r *replay) arrive(a arrival) {
+	r.nonce++
+	order := r.policy.rank(r, a, r.nonce)
+	if r.now >= warmUp {
+		r.result.turns++
+	}
+	if r.policy.unbounded {
+		r.start(r.nonce, a, order[0], r.now)
+		return
+	}
+	r.ask(a, r.asks(a, order), r.now)
+}
+
+func (r *replay) asks(a arrival, order []*replayEngine) []placement.Ask {
+	var ranked []string
+	for _, e := range order {
+		ranked = append(ranked, e.name)
+	}
+	if !r.policy.planned {
+		return inRank(ranked)
+	}
+	cached := 0
+	if a.prefix > 0 {
+		cached = 1
+	}
+	if places, ok := r.memory.Recall(uint64(a.chat)); ok && r.policy.remembers {
+		cached = places.Promote(ranked)
+	}
+	return placement.Asks(ranked, placement.AskOptions{
+		Cached: cached, Probes: engineCount,
+		Patience: placement.Patience(a.prefix, prefillPerSecond, r.policy.patience),
+	})
+}
+
+func inRank(ranked []string) []placement.Ask {
+	var asks []placement.Ask
+	for _, name := range ranked {
+		asks = append(asks, placement.Ask{Upstream: name})
+	}
+	return append(asks, placement.Ask{Upstream: ranked[0], LastResort: true, PoolFull: true})
+}
+
+// ask puts the questions in order until an engine takes the turn.
+func (r *replay) ask(a arrival, asks []placement.Ask, since time.Duration) {
+	for i, ask := range asks {
+		e := r.engine(ask.Upstream)
+		if e != nil && r.offer(e, ask, queuedTurn{arrival: a, rest: asks[i+1:], since: since}) {
+			return
+		}
+	}
+	if r.now >= warmUp {
+		r.result.refused++
+	}
+}
+
+func (r *replay) engine(name string) *replayEngine {
+	for _, e := range r.engines {
+		if e.name == name {
+			return e
+		}
+	}
+	return nil
+}
+
+func (r *replay) offer(e *replayEngine, ask placement.Ask, turn queuedTurn) bool {
+	r.nonce++
+	request := admission.Request{
+		ID: r.nonce, Workspace: fmt.Sprint("w", turn.arrival.workspace),
+		Flexible: ask.Flexible, PoolFull: ask.PoolFull, MayWait: ask.LastResort || ask.Wait > 0,
+	}
+	if ask.Wait > 0 {
+		request.Deadline = r.clock().Add(ask.Wait)
+	}
+	d := e.scheduler.Offer(r.clock(), request)
+	switch d.Verdict {
+	case admission.Admitted:
+		r.start(request.ID, turn.arrival, e, turn.since)
+	case admission.Queued:
+		r.waiting[request.ID] = turn
+	}
+	r.apply(e, d.Effects)
+	return d.Verdict != admission.Refused
+}
+
+func (r *replay) apply(e *replayEngine, effects []admission.Effect) {
+	for _, effect := range effects {
+		turn := r.waiting[effect.ID]
+		delete(r.waiting, effect.ID)
+		if effect.Kind == admission.Start {
+			r.start(effect.ID, turn.arrival, e, turn.since)
+			continue
+		}
+		r.ask(turn.arrival, r.afterRefusal(turn, effect.Reason), turn.since)
+	}
+}
+
+// afterRefusal returns the questions to go on with; after a drain all anew.
+func (r *replay) afterRefusal(turn queuedTurn, reason admission.Reason) []placement.Ask {
+	if reason != admission.ReasonDraining {
+		return turn.rest
+	}
+	return r.asks(turn.arrival, r.policy.rank(r, turn.arrival, r.nonce))
+}
+
+func (r *replay) start(id uint64, a arrival, e *replayEngine, since time.Duration) {
+	cached := min(e.cache.tokens(a.chat), a.prefix)
+	e.cache.put(a.chat, a.prefix+a.added)
+	e.inFlight++
+	r.memory.Remember(uint64(a.chat), e.name)
+	prefill := seconds(float64(a.prefix+a.added-cached) / prefillPerSecond)
+	heap.Push(&r.done, completion{at: r.now + prefill + a.decode, id: id, engine: e})
+	if r.now < warmUp {
+		return
+	}
+	r.result.cached += cached
+	r.result.prefix += a.prefix
+	r.result.waits = append(r.result.waits, r.now-since)
+	if _, _, over := r.overBound(); over {
+		r.result.overAtPlacing++
+	}
+}
+
+func (r *replay) finish(c completion) {
+	c.engine.inFlight--
+	r.apply(c.engine, c.engine.scheduler.Finish(r.clock(), c.id))
+}
+
+// byStrategy ranks with a placement strategy.
+func byStrategy(s placement.Strategy) func(*replay, arrival, uint64) []*replayEngine {
+	return func(r *replay, a arrival, nonce uint64) []*replayEngine {
+		candidates := make([]placement.Candidate, 0, len(r.engines))
+		for _, e := range r.engines {
+			candidates = append(candidates, placement.Candidate{Name: e.name, InFlight: e.inFlight})
+		}
+		key := placement.Key(fmt.Sprint("chat-", a.chat))
+		order := s.Rank(placement.Request{Key: key, Nonce: nonce}, candidates, nil)
+		out := make([]*replayEngine, 0, len(order))
+		for _, i := range order {
+			out = append(out, r.engines[i])
+		}
+		return out
+	}
+}
+
+// rememberedChats is more than the chats of a run.
+const rememberedChats = 1 << 20
+
+// oracle knows all caches; engines that hold as much go by load.
+func oracle(r *replay, a arrival, _ uint64) []*replayEngine {
+	order := slices.Clone(r.engines)
+	slices.SortStableFunc(order, func(x, y *replayEngine) int {
+		if c := y.cache.tokens(a.chat) - x.cache.tokens(a.chat); c != 0 {
+			return c
+		}
+		return x.inFlight - y.inFlight
+	})
+	return order
+}
+
+func newReplay(p policy, meanInFlight float64, lag time.Duration) *replay {
+	settings := admission.DefaultSettings()
+	settings.Headroom = p.headroom
+	const tokensPerRequestInFlight = 60_000
+	return &replay{
+		policy: p, settings: settings, lag: lag,
+		capacity:  int(math.Ceil(4 * meanInFlight)),
+		cacheSize: int(tokensPerRequestInFlight * meanInFlight),
+	}
+}
