--- a/internal/claims/claims.go
+++ b/internal/claims/claims.go
@@ -41,6 +41,9 @@
 	Workspace string
 	// Fingerprint identifies the content of the call across resends.
 	Fingerprint uint64
+	// First is set when the caller vouches that it never sent the key before.
+	// Refusals as not run then hold also while the journal can't be read.
+	First bool
 }
 
 func (a Action) fingerprint() uint64 {
@@ -116,7 +119,8 @@
 
 // Do claims an action and dispatches it once, joins it when it is under way,
 // or answers from its recorded outcome. It is called on the slot's holder; a
-// second holder is safe, but slower. Once dispatched, an action goes on and is
+// second holder is safe, but slower. A refusal as not run speaks for the
+// action: no earlier request with its key ran it. Once dispatched, an action goes on and is
 // recorded also when ctx ends.
 func (c *Claims) Do(ctx context.Context, action Action, dispatch DispatchFunc) (Result, *refusal.Refusal) {
 	c.counters.requests.Inc(1)
--- a/internal/claims/counters.go
+++ b/internal/claims/counters.go
@@ -27,6 +27,7 @@
 	notApplied    metrics.Counter
 	resultUnknown metrics.Counter
 	readBacks     metrics.Counter
+	headChecks    metrics.Counter
 }
 
 func newCounters(r metrics.Registry) counters {
@@ -43,6 +44,7 @@
 		appendTime:  metrics.GetOrRegisterTimer("claims.append_time", r),
 		rateLimited: counter("appends_rate_limited"), notApplied: counter("appends_not_applied"),
 		resultUnknown: counter("appends_result_unknown"), readBacks: counter("read_backs"),
+		headChecks: counter("head_checks"),
 	}
 }
 
--- a/internal/claims/journalstore.go
+++ b/internal/claims/journalstore.go
@@ -188,3 +188,19 @@
 		Number: r.Number, Found: true, Nonce: segment.Nonce, Revision: entry.ModRevision,
 	}
 }
+
+// checkHead reads the head's revision.
+func (s journalStore) checkHead() ledger.Event {
+	ctx, cancel := s.callContext()
+	defer cancel()
+	s.claims.counters.headChecks.Inc(1)
+	entry, err := s.claims.options.Store.Get(ctx, s.headKey())
+	switch {
+	case err == nil:
+		return ledger.HeadChecked{Revision: entry.ModRevision}
+	case errors.Is(err, kv.ErrNotFound):
+		return ledger.HeadChecked{}
+	default:
+		return ledger.HeadCheckFailed{RateLimited: errors.Is(err, kv.ErrRateLimited)}
+	}
+}
--- a/internal/claims/settings.go
+++ b/internal/claims/settings.go
@@ -32,6 +32,12 @@
 	// MaxRetryPause.
 	RetryPause    settings.Duration `yaml:"retry_pause" validate:"gt=0"`
 	MaxRetryPause settings.Duration `yaml:"max_retry_pause" validate:"gt=0"`
+	// TrustTime is how long after the journal was last seen in place an action
+	// that it lacks is refused as not run; later, as unknown. Set it below the
+	// time after which the daemons believe another one dead.
+	TrustTime settings.Duration `yaml:"trust_time" validate:"gte=0"`
+	// CheckInterval is how often the head of an idle slot is read.
+	CheckInterval settings.Duration `yaml:"check_interval" validate:"gt=0"`
 	// HoldOff is the pause after another daemon took a slot over.
 	HoldOff settings.Duration `yaml:"hold_off" validate:"gt=0"`
 	// CompactAfter is the number of segments that are compacted into one.
@@ -59,6 +65,8 @@
 	defaultCallTimeout     = time.Second
 	defaultRetryPause      = 50 * time.Millisecond
 	defaultMaxRetryPause   = 2 * time.Second
+	defaultTrustTime       = 10 * time.Second
+	defaultCheckInterval   = 3 * time.Second
 	defaultHoldOff         = time.Second
 	defaultCompactAfter    = 64
 	defaultSegmentBytes    = 256 << 10
@@ -81,6 +89,8 @@
 		CallTimeout:     settings.Duration(defaultCallTimeout),
 		RetryPause:      settings.Duration(defaultRetryPause),
 		MaxRetryPause:   settings.Duration(defaultMaxRetryPause),
+		TrustTime:       settings.Duration(defaultTrustTime),
+		CheckInterval:   settings.Duration(defaultCheckInterval),
 		HoldOff:         settings.Duration(defaultHoldOff),
 		CompactAfter:    defaultCompactAfter,
 		SegmentBytes:    defaultSegmentBytes,
@@ -100,6 +110,8 @@
 		ClaimWait:      s.ClaimWait.Std(),
 		RetryPause:     s.RetryPause.Std(),
 		MaxRetryPause:  s.MaxRetryPause.Std(),
+		TrustTime:      s.TrustTime.Std(),
+		CheckInterval:  s.CheckInterval.Std(),
 		HoldOff:        s.HoldOff.Std(),
 		CompactAfter:   s.CompactAfter,
 		SegmentBytes:   s.SegmentBytes,
--- a/internal/claims/worker.go
+++ b/internal/claims/worker.go
@@ -136,7 +136,9 @@
 	w.lastID++
 	c.id = w.lastID
 	w.calls[c.id] = c
-	w.step(ledger.Arrived{Request: w.lastID, Key: c.action.Key, Fingerprint: c.action.fingerprint()})
+	w.step(ledger.Arrived{
+		Request: c.id, Key: c.action.Key, Fingerprint: c.action.fingerprint(), First: c.action.First,
+	})
 }
 
 func (w *worker) step(event ledger.Event) {
@@ -175,6 +177,8 @@
 		go func() { w.post(w.journal.append(e)) }()
 	case ledger.ReadBack:
 		go func() { w.post(w.journal.readBack(e)) }()
+	case ledger.CheckHead:
+		go func() { w.post(w.journal.checkHead()) }()
 	case ledger.Dispatch:
 		w.dispatch(e)
 	case ledger.Reply:
@@ -226,6 +230,6 @@
 }
 
 func gaveUp() *refusal.Refusal {
-	return refusal.New(refusal.DeadlineExceeded,
+	return refusal.NewUnknown(refusal.DeadlineExceeded,
 		"the caller gave up before the action was claimed: send it again with the same key")
 }
--- a/internal/ledger/append.go
+++ b/internal/ledger/append.go
@@ -25,6 +25,7 @@
 	append Append
 	// records are the queue's part of the segment.
 	records []Record
+	sentAt  time.Time
 	step    flightStep
 	// uncertain is set once an attempt may have been applied.
 	uncertain bool
@@ -40,10 +41,13 @@
 		}
 		return
 	}
-	if l.queue.empty() || l.now.Before(l.appendDue()) {
+	if l.queue.empty() {
+		l.advanceCheck()
 		return
 	}
-	l.startAppend()
+	if !l.now.Before(l.appendDue()) {
+		l.startAppend()
+	}
 }
 
 // appendDue returns when the queued records are to be written.
@@ -67,7 +71,7 @@
 	}
 	segment.Records = append(segment.Records, records...)
 	l.journal.lastAppend = l.now
-	l.flight = &flight{records: records, append: Append{
+	l.flight = &flight{records: records, sentAt: l.now, append: Append{
 		Number: l.journal.next, After: l.journal.head, Segment: segment,
 		Remove: l.journal.removable(maxRemovals),
 	}}
@@ -95,6 +99,7 @@
 	l.flight = nil
 	l.succeeded()
 	l.journal.committed(done.append, revision)
+	l.journal.confirmed = done.sentAt
 	for _, r := range done.records {
 		if r.Kind == RecordClaim {
 			l.claimCommitted(r)
@@ -197,20 +202,25 @@
 	}
 }
 
-// lose gives the slot up: another holder has moved the head. Claims that were
-// not committed are refused; dispatched actions go on. Outcomes are kept in
-// case the slot comes back, but releases are not: the append in doubt may have
-// released the action to another holder already.
+// lose gives the slot up: another holder has moved the head. Requests whose
+// claims were not committed wait until the journal is read again; dispatched
+// actions go on. Outcomes are kept in case the slot comes back, but releases
+// are not: the append in doubt may have released the action to another holder
+// already.
 func (l *Ledger) lose() {
-	unwritten := slices.Concat(l.flight.records, l.queue.records)
+	unwritten := l.queue.records
+	if l.flight != nil {
+		unwritten = slices.Concat(l.flight.records, unwritten)
+	}
 	l.flight = nil
+	l.check = headCheck{}
 	l.queue = queue{}
 	l.phase = phaseClosed
 	l.retryAt = l.now.Add(l.cfg.HoldOff)
 	for _, r := range unwritten {
 		switch r.Kind {
 		case RecordClaim:
-			l.refuseWaiters(r.Key)
+			l.returnWaiters(r.Key)
 		case RecordAnswer, RecordUnconfirmed:
 			l.queue.add(l.now, r)
 		}
@@ -218,13 +228,14 @@
 	l.forgetJournal()
 }
 
-func (l *Ledger) refuseWaiters(key uuid.UUID) {
+// returnWaiters makes the requests for an action wait for the journal again.
+func (l *Ledger) returnWaiters(key uuid.UUID) {
 	e := l.entries[key]
 	if e == nil || e.state != statePending {
 		return
 	}
 	for _, request := range e.waiters {
-		l.refuse(request, refusalMoved(l.cfg.HoldOff))
+		l.arrivals = append(l.arrivals, l.requests[request])
 	}
 	e.waiters = nil
 }
--- a/internal/ledger/config.go
+++ b/internal/ledger/config.go
@@ -24,6 +24,12 @@
 	// MaxRetryPause.
 	RetryPause    time.Duration
 	MaxRetryPause time.Duration
+	// TrustTime is how long after the head was last seen in place an action that
+	// is missing in the journal counts as not run. It should be shorter than
+	// the time after which another daemon takes the slot over.
+	TrustTime time.Duration
+	// CheckInterval is how often the head of an idle slot is read.
+	CheckInterval time.Duration
 	// HoldOff is the pause after another holder took the slot over.
 	HoldOff time.Duration
 	// CompactAfter is the number of segments that are compacted into one.
--- a/internal/ledger/journal.go
+++ b/internal/ledger/journal.go
@@ -25,6 +25,8 @@
 	horizon    int64
 	newest     int64
 	lastAppend time.Time
+	// confirmed is when the head was last known to be in place.
+	confirmed time.Time
 	// swept is the horizon up to which actions were forgotten.
 	swept int64
 	// retained are the segments that must be kept, in order; obsolete those
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -79,15 +79,17 @@
 	pauses   int
 
 	entries  map[uuid.UUID]*entry
-	requests map[RequestID]uuid.UUID
+	requests map[RequestID]Arrived
 	waits    []wait
 	// arrivals wait for the journal to be loaded.
 	arrivals []Arrived
+	loadSent time.Time
 	running  int
 
 	journal journal
 	queue   queue
 	flight  *flight
+	check   headCheck
 	results resultStore
 }
 
@@ -97,7 +99,7 @@
 	return &Ledger{
 		cfg:      cfg,
 		entries:  make(map[uuid.UUID]*entry),
-		requests: make(map[RequestID]uuid.UUID),
+		requests: make(map[RequestID]Arrived),
 		journal:  newJournal(),
 		results:  resultStore{limit: cfg.ResultBytes},
 	}
@@ -136,6 +138,10 @@
 		l.readBackDone(e)
 	case ReadBackFailed:
 		l.readBackFailed(e.Number)
+	case HeadChecked:
+		l.headChecked(e.Revision)
+	case HeadCheckFailed:
+		l.headCheckFailed(e)
 	case Finished:
 		l.finished(e)
 	case Drain:
@@ -157,6 +163,8 @@
 		at = earlier(at, l.retryAt)
 	case l.phase == phaseOpen && l.flight == nil && !l.queue.empty():
 		at = earlier(at, l.appendDue())
+	case l.phase == phaseOpen && l.flight == nil && !l.check.running:
+		at = earlier(at, l.checkDue())
 	}
 	return at
 }
@@ -218,6 +226,7 @@
 		return
 	}
 	l.phase = phaseLoading
+	l.loadSent = l.now
 	l.emit(Load{})
 }
 
--- a/internal/ledger/messages.go
+++ b/internal/ledger/messages.go
@@ -32,6 +32,9 @@
 	Key     uuid.UUID
 	// Fingerprint identifies the content of the request.
 	Fingerprint uint64
+	// First is set when the caller vouches that it never sent the key before:
+	// a refusal of this request is then one of the action.
+	First bool
 }
 
 // Canceled says that the caller of a request has gone. A Reply follows unless
@@ -91,6 +94,12 @@
 // ReadBackFailed says that the segment can't be read.
 type ReadBackFailed struct{ Number uint64 }
 
+// HeadChecked is the head's revision, zero when there is no head.
+type HeadChecked struct{ Revision int64 }
+
+// HeadCheckFailed says that the head can't be read.
+type HeadCheckFailed struct{ RateLimited bool }
+
 // FinishKind says how a dispatch ended.
 type FinishKind int
 
@@ -119,19 +128,21 @@
 // Tick says that only time has passed.
 type Tick struct{}
 
-func (Arrived) event()        {}
-func (Canceled) event()       {}
-func (Loaded) event()         {}
-func (LoadFailed) event()     {}
-func (Committed) event()      {}
-func (LostRace) event()       {}
-func (NotApplied) event()     {}
-func (ResultUnknown) event()  {}
-func (ReadBackDone) event()   {}
-func (ReadBackFailed) event() {}
-func (Finished) event()       {}
-func (Drain) event()          {}
-func (Tick) event()           {}
+func (Arrived) event()         {}
+func (Canceled) event()        {}
+func (Loaded) event()          {}
+func (LoadFailed) event()      {}
+func (Committed) event()       {}
+func (LostRace) event()        {}
+func (NotApplied) event()      {}
+func (ResultUnknown) event()   {}
+func (ReadBackDone) event()    {}
+func (ReadBackFailed) event()  {}
+func (HeadChecked) event()     {}
+func (HeadCheckFailed) event() {}
+func (Finished) event()        {}
+func (Drain) event()           {}
+func (Tick) event()            {}
 
 // Effect is an output of the ledger.
 type Effect interface{ effect() }
@@ -154,6 +165,10 @@
 // ReadBackFailed follows.
 type ReadBack struct{ Number uint64 }
 
+// CheckHead asks for the head's revision: HeadChecked or HeadCheckFailed
+// follows.
+type CheckHead struct{}
+
 // Dispatch asks to run the action once, as given by a request. Finished
 // follows.
 type Dispatch struct {
@@ -169,8 +184,9 @@
 	Refusal *refusal.Refusal
 }
 
-func (Load) effect()     {}
-func (Append) effect()   {}
-func (ReadBack) effect() {}
-func (Dispatch) effect() {}
-func (Reply) effect()    {}
+func (Load) effect()      {}
+func (Append) effect()    {}
+func (ReadBack) effect()  {}
+func (CheckHead) effect() {}
+func (Dispatch) effect()  {}
+func (Reply) effect()     {}
--- a/internal/ledger/refusals.go
+++ b/internal/ledger/refusals.go
@@ -38,13 +38,7 @@
 
 func refusalOutage(retryAfter time.Duration) *refusal.Refusal {
 	return refusal.New(refusal.ClaimsUnavailable,
-		"the claim could not be written, the action was not run: send it again with the same key").
-		WithRetryAfter(retryAfter)
-}
-
-func refusalMoved(retryAfter time.Duration) *refusal.Refusal {
-	return refusal.New(refusal.ClaimsUnavailable,
-		"the claim slot moved to another daemon, the action was not run here: send it again with the same key").
+		"the claim could not be written, this request was not run: send it again with the same key").
 		WithRetryAfter(retryAfter)
 }
 
--- a/internal/ledger/replay.go
+++ b/internal/ledger/replay.go
@@ -11,6 +11,7 @@
 	l.journal = newJournal()
 	l.journal.nonce = ev.Nonce
 	l.journal.head = ev.Head
+	l.journal.confirmed = l.loadSent
 	for _, s := range ev.Segments {
 		l.journal.note(s)
 		l.replay(s.Segment.Records)
@@ -42,24 +43,24 @@
 	}
 }
 
-// loadFailed refuses the waiting requests, except after a mere rate limit.
+// loadFailed refuses the waiting requests once it is an outage.
 func (l *Ledger) loadFailed(ev LoadFailed) {
 	if l.phase != phaseLoading {
 		return
 	}
 	l.phase = phaseClosed
 	l.failed(ev.RateLimited)
-	if ev.RateLimited {
-		return
-	}
 	reason := ev.Reason
 	if reason == nil {
 		reason = refusalOutage(l.untilRetry())
+		if !l.outage() {
+			return
+		}
 	}
 	arrivals := l.arrivals
 	l.arrivals = nil
 	for _, a := range arrivals {
-		l.refuse(a.Request, reason)
+		l.refuse(a.Request, l.ofAction(a, reason))
 	}
 }
 
--- a/internal/ledger/requests.go
+++ b/internal/ledger/requests.go
@@ -47,7 +47,7 @@
 
 func (l *Ledger) join(a Arrived, e *entry) {
 	e.waiters = append(e.waiters, a.Request)
-	l.requests[a.Request] = a.Key
+	l.requests[a.Request] = a
 	if e.state == statePending {
 		l.startWait(a.Request)
 	}
@@ -56,7 +56,7 @@
 // claim queues the claim of an action that isn't remembered.
 func (l *Ledger) claim(a Arrived) {
 	if r := l.claimRefusal(a.Key); r != nil {
-		l.refuse(a.Request, r)
+		l.refuse(a.Request, l.ofAction(a, r))
 		return
 	}
 	e := &entry{fingerprint: a.Fingerprint, state: statePending}
@@ -89,11 +89,11 @@
 	switch {
 	case l.draining:
 		l.refuse(a.Request, refusalLeaving())
-	case l.phase == phaseClosed && l.now.Before(l.retryAt) && len(l.arrivals) == 0:
-		l.refuse(a.Request, refusalOutage(l.untilRetry()))
+	case l.phase == phaseClosed && l.outage() && l.now.Before(l.retryAt):
+		l.refuse(a.Request, l.ofAction(a, refusalOutage(l.untilRetry())))
 	default:
 		l.arrivals = append(l.arrivals, a)
-		l.requests[a.Request] = a.Key
+		l.requests[a.Request] = a
 		l.startWait(a.Request)
 	}
 }
@@ -113,11 +113,11 @@
 
 // cancel ends a request whose caller has gone.
 func (l *Ledger) cancel(request RequestID) {
-	key, ok := l.requests[request]
+	a, ok := l.requests[request]
 	if !ok {
 		return
 	}
-	if e := l.entries[key]; e != nil && e.state == stateRunning {
+	if e := l.entries[a.Key]; e != nil && e.state == stateRunning {
 		e.waiters = without(e.waiters, request)
 		l.refuse(request, refusalStillRunning())
 		return
@@ -129,14 +129,15 @@
 // leave ends a request that still waits for its claim. It is told the given
 // refusal when nobody else waits for the action, so that it can't run.
 func (l *Ledger) leave(request RequestID, r *refusal.Refusal) {
-	key, ok := l.requests[request]
+	a, ok := l.requests[request]
 	if !ok {
 		return
 	}
+	r = l.ofAction(a, r)
 	if l.leaveArrivals(request, r) {
 		return
 	}
-	e := l.entries[key]
+	e := l.entries[a.Key]
 	if e == nil || e.state != statePending {
 		return
 	}
@@ -146,7 +147,7 @@
 		return
 	}
 	l.refuse(request, r)
-	l.abandon(key, e)
+	l.abandon(a.Key, e)
 }
 
 func (l *Ledger) leaveArrivals(request RequestID, r *refusal.Refusal) bool {
@@ -210,6 +211,19 @@
 	e.waiters = nil
 }
 
+// ofAction turns the refusal of a request into one of its action: unless the
+// journal is known to lack the action, an earlier request may have run it.
+func (l *Ledger) ofAction(a Arrived, r *refusal.Refusal) *refusal.Refusal {
+	missing := l.phase == phaseOpen && l.now.Sub(l.journal.confirmed) <= l.cfg.TrustTime
+	if a.First || missing || r.Outcome == refusal.Unknown {
+		return r
+	}
+	unknown := *r
+	unknown.Outcome = refusal.Unknown
+	unknown.Message = "the claims can't be read, an earlier request with this key may have run: " + r.Message
+	return &unknown
+}
+
 func (l *Ledger) untilRetry() time.Duration {
 	return max(l.retryAt.Sub(l.now), l.cfg.RetryPause)
 }
