--- a/internal/vtctl/root.go
+++ b/internal/vtctl/root.go
@@ -65,12 +65,22 @@
 	root := NewCommand(out, errOut)
 	root.SetArgs(arguments)
 	err := root.ExecuteContext(ctx)
-	if err != nil && !errors.Is(err, errDifference) {
-		fmt.Fprintln(errOut, "vtctl: "+err.Error())
-	}
+	printError(errOut, err)
 	return exitCode(err)
 }
 
+// printError prints mistakes as they are, so that editors find their places.
+func printError(out io.Writer, err error) {
+	var mistakes declare.Mistakes
+	switch {
+	case err == nil, errors.Is(err, errDifference):
+	case errors.As(err, &mistakes):
+		fmt.Fprintln(out, mistakes.Error())
+	default:
+		fmt.Fprintln(out, "vtctl: "+err.Error())
+	}
+}
+
 func exitCode(err error) int {
 	var mistakes declare.Mistakes
 	switch {
