Cluster: answers go before gossip when the byte budget is short

64 routers that started together took each other for failed: news of the starts used up the budget, answers were held back, and 559 false failures were counted in 30 s with up to 2,369 B/s. Bare answers may now go into debt, averages and gossip may not.

--- a/internal/cluster/budget.go
+++ b/internal/cluster/budget.go
@@ -14,9 +14,20 @@
 const (
 	// listShare of the budget is for polling the host list.
 	listShare = 0.25
-	// answerReserve of a second's datagram bytes is kept for answers: a daemon
-	// that can't answer would be taken for failed.
-	answerReserve = 0.25
+	// reserveShare of a second's datagram bytes is the step between the tokens
+	// that a probe, an answer and a bare answer need.
+	reserveShare = 0.25
+)
+
+// urgency tells how far a datagram may use up the budget.
+type urgency int
+
+// Urgencies. A daemon that doesn't answer would be taken for failed, so bare
+// answers may go into debt, which later probes wait for.
+const (
+	urgencyProbe urgency = iota
+	urgencyAnswer
+	urgencyBareAnswer
 )
 
 // messageKind names a kind of control message in the metrics.
@@ -42,19 +53,26 @@
 	datagramRate := float64(bytesPerSecond) * (1 - listShare)
 	return &budget{
 		limiter:  rate.NewLimiter(rate.Limit(datagramRate), int(datagramRate)),
-		reserve:  datagramRate * answerReserve,
+		reserve:  datagramRate * reserveShare,
 		registry: registry,
 	}
 }
 
-// maySend reports whether a datagram fits the budget; answers may use the
-// reserve.
-func (b *budget) maySend(now time.Time, answer bool) bool {
-	floor := b.reserve
-	if answer {
-		floor = 0
+// maySend reports whether a datagram of an urgency fits the budget.
+func (b *budget) maySend(now time.Time, u urgency) bool {
+	return b.limiter.TokensAt(now) > b.floor(u)
+}
+
+// floor is the number of tokens that must be left.
+func (b *budget) floor(u urgency) float64 {
+	switch u {
+	case urgencyProbe:
+		return b.reserve
+	case urgencyAnswer:
+		return 0
+	default:
+		return -b.reserve
 	}
-	return b.limiter.TokensAt(now) > floor
 }
 
 // sent accounts for a datagram of that many bytes.
--- a/internal/cluster/cluster_test.go
+++ b/internal/cluster/cluster_test.go
@@ -203,7 +203,7 @@
 			b.received(now, kindPing, size/10)
 			total += size/10 + headerBytes
 		}
-		if b.maySend(now, i%4 == 0) {
+		if b.maySend(now, urgency(i%2)) {
 			b.sent(now, kindPing, size)
 			total += size + headerBytes
 		}
--- a/internal/cluster/exchange.go
+++ b/internal/cluster/exchange.go
@@ -26,7 +26,7 @@
 		d.Averages = averagesToProto(message)
 	}
 	l.addGossip(d, e.Host)
-	l.send(now, target.PeerAddress, kindPing, d)
+	l.send(now, target.PeerAddress, kindPing, urgencyProbe, d)
 }
 
 // unansweredKept is the number of rounds for which an answer still counts.
@@ -45,7 +45,7 @@
 	}
 	d := l.datagram()
 	d.Body = &peerpb.Datagram_Ping{Ping: &peerpb.Ping{Sequence: e.Sequence, RelayTo: e.Host}}
-	l.send(now, via.PeerAddress, kindRelay, d)
+	l.send(now, via.PeerAddress, kindRelay, urgencyAnswer, d)
 }
 
 func (c datagramReceived) apply(l *loop, now time.Time) {
@@ -88,7 +88,7 @@
 	}
 	d := l.datagram()
 	d.Body = &peerpb.Datagram_Ack{Ack: &peerpb.Ack{Sequence: ping.GetSequence()}}
-	l.send(now, c.from.String(), kindAck, d)
+	l.send(now, c.from.String(), kindAck, urgencyBareAnswer, d)
 }
 
 // hearGossip takes news, strikes and the revision from a datagram.
@@ -121,12 +121,17 @@
 	}
 	answer := l.datagram()
 	answer.Body = &peerpb.Datagram_Ack{Ack: &peerpb.Ack{Sequence: ping.GetSequence()}}
+	if !l.budget.maySend(now, urgencyAnswer) {
+		l.counter("sent.bare_answers").Inc(1)
+		l.send(now, sender.PeerAddress, kindAck, urgencyBareAnswer, answer)
+		return
+	}
 	if d.GetAverages() != nil && l.isRouter() {
 		reply := l.average.Receive(sender.Name, averagesFromProto(d.GetAverages()))
 		answer.Averages = averagesToProto(reply)
 	}
 	l.addGossip(answer, sender.Name)
-	l.send(now, sender.PeerAddress, kindAck, answer)
+	l.send(now, sender.PeerAddress, kindAck, urgencyAnswer, answer)
 }
 
 // relayProbe pings a router on behalf of another.
@@ -139,7 +144,7 @@
 	sequence := l.relays.add(now, relay{asker: sender.PeerAddress, sequence: ping.GetSequence(), target: target.Name})
 	d.Body = &peerpb.Datagram_Ping{Ping: &peerpb.Ping{Sequence: sequence}}
 	l.addGossip(d, target.Name)
-	l.send(now, target.PeerAddress, kindRelay, d)
+	l.send(now, target.PeerAddress, kindRelay, urgencyAnswer, d)
 }
 
 func (l *loop) hearAck(now time.Time, sender hostlist.Host, d *peerpb.Datagram, ack *peerpb.Ack) {
@@ -162,7 +167,7 @@
 func (l *loop) answerRelay(now time.Time, r relay) {
 	d := l.datagram()
 	d.Body = &peerpb.Datagram_Ack{Ack: &peerpb.Ack{Sequence: r.sequence, RelayedFor: r.target}}
-	l.send(now, r.asker, kindRelay, d)
+	l.send(now, r.asker, kindRelay, urgencyBareAnswer, d)
 }
 
 // relay is a probe that this daemon makes for another.
--- a/internal/cluster/loop.go
+++ b/internal/cluster/loop.go
@@ -128,7 +128,7 @@
 func (l *loop) round(now time.Time) {
 	l.average.SetLocal(l.localLoads())
 	l.meansDirty = true
-	if !l.budget.maySend(now, false) {
+	if !l.budget.maySend(now, urgencyProbe) {
 		l.budget.refused(kindPing)
 		return
 	}
@@ -278,10 +278,9 @@
 	}
 }
 
-// send marshals and sends a datagram within the budget.
-func (l *loop) send(now time.Time, to string, kind messageKind, d *peerpb.Datagram) {
-	answer := kind != kindPing
-	if !l.budget.maySend(now, answer) {
+// send marshals and sends a datagram if the budget allows.
+func (l *loop) send(now time.Time, to string, kind messageKind, u urgency, d *peerpb.Datagram) {
+	if !l.budget.maySend(now, u) {
 		l.budget.refused(kind)
 		return
 	}
@@ -299,8 +298,13 @@
 	if _, err := l.manager.conn.WriteToUDPAddrPort(data, address); err != nil {
 		l.counter("sent.errors").Inc(1)
 	}
+	l.noteSize(kind, len(data))
+}
+
+// noteSize remembers the size of pings, from which the rounds are paced.
+func (l *loop) noteSize(kind messageKind, bytes int) {
 	if kind == kindPing {
-		l.datagramBytes = len(data)
+		l.datagramBytes = bytes
 	}
 }
 
--- /dev/null
+++ b/internal/cluster/measure_test.go
@@ -0,0 +1,135 @@
+package cluster
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"os"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/verbenatrail/verbenatrail/internal/hostlist"
+)
+
+const (
+	measuredPools  = 12
+	measureWarmUp  = 10 * time.Second
+	measuredWindow = 20 * time.Second
+)
+
+// measuredDaemon is a Manager with production settings and a load that tests
+// change.
+type measuredDaemon struct {
+	manager  *Manager
+	registry metrics.Registry
+	load     atomic.Int64
+}
+
+func (d *measuredDaemon) loads() map[uint32]int {
+	out := make(map[uint32]int, measuredPools)
+	for pool := range uint32(measuredPools) {
+		out[pool+1] = int(d.load.Load())
+	}
+	return out
+}
+
+func (d *measuredDaemon) bytes(name string) int64 {
+	return metrics.GetOrRegisterCounter("cluster."+name, d.registry).Count()
+}
+
+func (d *measuredDaemon) total() int64 { return d.bytes("sent.bytes") + d.bytes("received.bytes") }
+
+// startMeasured runs n routers against a platform that also lists engines.
+func startMeasured(ctx context.Context, t *testing.T, group *errgroup.Group, n int) []*measuredDaemon {
+	p := newPlatform(t)
+	for i := range 12 {
+		p.add(hostlist.Host{Name: fmt.Sprint("engine-", i), Kind: hostlist.KindEngine, Address: "127.0.0.1:2", State: hostlist.StateLive})
+	}
+	logger := logrus.New()
+	logger.SetLevel(logrus.ErrorLevel)
+	var selves []hostlist.Host
+	for i := range n {
+		selves = append(selves, hostlist.Host{
+			Name: fmt.Sprintf("router-%03d", i), Kind: hostlist.KindRouter, State: hostlist.StateLive,
+			Address: "127.0.0.1:1", PeerAddress: freeAddress(t), Region: "bagmati", FailureDomain: "balaju",
+		})
+		p.add(selves[i])
+	}
+	var daemons []*measuredDaemon
+	for i, self := range selves {
+		d := &measuredDaemon{registry: metrics.NewRegistry()}
+		d.load.Store(int64(i % 20))
+		manager, err := New(Options{
+			Self: self, HostListURL: p.server.URL, Settings: DefaultSettings(), Seed: uint64(i + 1),
+			LoadSource: d.loads, Registry: d.registry, Logger: logger,
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		d.manager = manager
+		daemons = append(daemons, d)
+		group.Go(func() error { return manager.Run(ctx) })
+	}
+	return daemons
+}
+
+// TestMeasureControlBytes prints control bytes of real managers on the
+// loopback. Set VERBENATRAIL_MEASURE=1 to run it.
+func TestMeasureControlBytes(t *testing.T) {
+	if os.Getenv("VERBENATRAIL_MEASURE") == "" {
+		t.Skip("set VERBENATRAIL_MEASURE=1 to measure")
+	}
+	fmt.Println("routers  B/s mean  B/s highest  ping+ack  relay  list  false-failures  error mean  error highest")
+	for _, n := range []int{4, 16, 64} {
+		measureFleet(t, n)
+	}
+}
+
+func measureFleet(t *testing.T, n int) {
+	ctx, cancel := context.WithCancel(context.Background())
+	group, ctx := errgroup.WithContext(ctx)
+	daemons := startMeasured(ctx, t, group, n)
+	time.Sleep(measureWarmUp)
+	before := make([]int64, n)
+	for i, d := range daemons {
+		before[i] = d.total()
+	}
+	time.Sleep(measuredWindow)
+	line := summarise(daemons, before)
+	cancel()
+	if err := group.Wait(); err != nil {
+		t.Error(err)
+	}
+	fmt.Println(line)
+}
+
+func summarise(daemons []*measuredDaemon, before []int64) string {
+	n := float64(len(daemons))
+	perSecond := func(bytes int64) float64 { return float64(bytes) / measuredWindow.Seconds() }
+	whole := (measureWarmUp + measuredWindow).Seconds()
+	var mean, highest, probes, relays, list, failures, errorMean, errorHighest, truth float64
+	for _, d := range daemons {
+		truth += float64(d.load.Load())
+	}
+	for i, d := range daemons {
+		rate := perSecond(d.total() - before[i])
+		mean += rate / n
+		highest = max(highest, rate)
+		for _, direction := range []string{"sent.bytes.", "received.bytes."} {
+			probes += float64(d.bytes(direction+"ping")+d.bytes(direction+"ack")) / whole / n
+			relays += float64(d.bytes(direction+"relay")) / whole / n
+		}
+		list += float64(d.bytes("received.bytes.list")) / whole / n
+		failures += float64(d.bytes("changes.router.failed"))
+		e := math.Abs(d.manager.View().PoolLoad(1)-truth) / truth
+		errorMean += e / n
+		errorHighest = max(errorHighest, e)
+	}
+	return fmt.Sprintf("%7d  %8.0f  %11.0f  %8.0f  %5.0f  %4.0f  %14.0f  %10.3f  %13.3f",
+		len(daemons), mean, highest, probes, relays, list, failures, errorMean, errorHighest)
+}
