--- /dev/null
+++ b/internal/callers/events.go
@@ -0,0 +1,58 @@
+package callers
+
+import (
+	"bufio"
+	"io"
+	"strings"
+)
+
+// maxEventBytes bounds one line of a stream.
+const maxEventBytes = 1 << 20
+
+// event is one server-sent event.
+type event struct {
+	id   string
+	name string
+	data string
+}
+
+// eventReader reads server-sent events.
+type eventReader struct {
+	scanner *bufio.Scanner
+}
+
+func newEventReader(r io.Reader) *eventReader {
+	scanner := bufio.NewScanner(r)
+	scanner.Buffer(make([]byte, 0, 4096), maxEventBytes)
+	return &eventReader{scanner: scanner}
+}
+
+// next returns the next event that has data. It returns io.ErrUnexpectedEOF
+// when the stream ends; a whole stream is known by its last event.
+func (r *eventReader) next() (event, error) {
+	var e event
+	for r.scanner.Scan() {
+		line := r.scanner.Text()
+		if line == "" && e.data != "" {
+			return e, nil
+		}
+		e.addLine(line)
+	}
+	if err := r.scanner.Err(); err != nil {
+		return event{}, err
+	}
+	return event{}, io.ErrUnexpectedEOF
+}
+
+func (e *event) addLine(line string) {
+	field, value, _ := strings.Cut(line, ":")
+	value = strings.TrimPrefix(value, " ")
+	switch field {
+	case "id":
+		e.id = value
+	case "event":
+		e.name = value
+	case "data":
+		e.data += value
+	}
+}
