Relay: ask owners in the order of placement.Asks, remember chats' engines

A returning chat waits a little at the engine that holds its prompt, and other requests look for a place below the mean first.

--- a/internal/daemon/directory.go
+++ b/internal/daemon/directory.go
@@ -19,9 +19,12 @@
 	answers  *directory.Directory
 }
 
+// noMemory makes answers depend on the rank alone, as they do at every directory.
+const noMemory = 1
+
 // NewDirectory assembles a directory; Run starts it.
 func NewDirectory(s DirectorySettings, logger *logrus.Logger) (*Directory, error) {
-	n, err := newNode(s.Common, hostlist.KindDirectory, logger)
+	n, err := newNode(s.Common, hostlist.KindDirectory, noMemory, logger)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/daemon/node.go
+++ b/internal/daemon/node.go
@@ -49,7 +49,7 @@
 	strikes func(*peerpb.Strike)
 }
 
-func newNode(common Common, kind hostlist.Kind, logger *logrus.Logger) (*node, error) {
+func newNode(common Common, kind hostlist.Kind, rememberedChats int, logger *logrus.Logger) (*node, error) {
 	strategy, err := placement.ByName(common.Strategy)
 	if err != nil {
 		return nil, errors.Wrap(err, "placement")
@@ -66,7 +66,7 @@
 		return nil, err
 	}
 	n.config = n.newConfig()
-	n.planner = relay.NewPlanner(n.config.Snapshot, n.cluster.View, n.drained, strategy)
+	n.planner = relay.NewPlanner(n.config.Snapshot, n.cluster.View, n.drained, strategy, rememberedChats)
 	return n, nil
 }
 
--- a/internal/daemon/router.go
+++ b/internal/daemon/router.go
@@ -37,7 +37,7 @@
 
 // NewRouter assembles a router; Run starts it.
 func NewRouter(s RouterSettings, logger *logrus.Logger) (*Router, error) {
-	n, err := newNode(s.Common, hostlist.KindRouter, logger)
+	n, err := newNode(s.Common, hostlist.KindRouter, s.Relay.RememberedChats, logger)
 	if err != nil {
 		return nil, err
 	}
@@ -69,7 +69,7 @@
 	calls := relay.New(relay.Options{
 		Planner: n.planner, View: n.cluster.View, Transport: transport,
 		Retrier: newRetrier(r.settings.Retry, rand.Uint64()), Metrics: relay.NewMetrics(n.registry),
-		CrashPause: r.settings.Containment.SpreadTime.Std(),
+		CrashPause: r.settings.Containment.SpreadTime.Std(), Settings: r.settings.Relay,
 	})
 	r.callers = router.NewServer(router.Options{
 		Settings: r.settings.Callers, Config: n.config.Snapshot,
--- a/internal/daemon/settings.go
+++ b/internal/daemon/settings.go
@@ -10,6 +10,7 @@
 	"github.com/verbenatrail/verbenatrail/internal/hostlist"
 	"github.com/verbenatrail/verbenatrail/internal/owner"
 	"github.com/verbenatrail/verbenatrail/internal/placement"
+	"github.com/verbenatrail/verbenatrail/internal/relay"
 	"github.com/verbenatrail/verbenatrail/internal/retry"
 	"github.com/verbenatrail/verbenatrail/internal/router"
 	"github.com/verbenatrail/verbenatrail/internal/settings"
@@ -57,6 +58,7 @@
 type RouterSettings struct {
 	Common      `yaml:",inline"`
 	Callers     router.Settings      `yaml:"callers"`
+	Relay       relay.Settings       `yaml:"relay"`
 	Owner       owner.Settings       `yaml:"owner"`
 	Retry       retry.Settings       `yaml:"retry"`
 	Containment containment.Settings `yaml:"containment"`
@@ -91,6 +93,7 @@
 	return RouterSettings{
 		Common:      defaultCommon(),
 		Callers:     router.DefaultSettings(),
+		Relay:       relay.DefaultSettings(),
 		Owner:       owner.DefaultSettings(),
 		Retry:       retry.DefaultSettings(),
 		Containment: containment.DefaultSettings(),
--- a/internal/owner/gate.go
+++ b/internal/owner/gate.go
@@ -165,11 +165,16 @@
 	if workspace := t.snapshot.Workspaces[request.GetWorkspace()]; workspace != nil {
 		weight = workspace.Weight
 	}
+	wait := request.GetTimeoutMs()
+	if request.GetWaitMs() > 0 {
+		wait = min(wait, request.GetWaitMs())
+	}
 	return admission.Request{
 		Workspace: request.GetWorkspace(), Weight: weight,
 		Class:    fleet.Priority(request.GetPriority()),
-		Deadline: now.Add(time.Duration(request.GetTimeoutMs()) * time.Millisecond),
+		Deadline: now.Add(time.Duration(wait) * time.Millisecond),
 		MayWait:  request.GetMayWait(), PoolFull: request.GetPoolFull(),
+		Flexible: request.GetFlexible(),
 	}
 }
 
@@ -202,6 +207,8 @@
 	switch reason {
 	case admission.ReasonOverBound:
 		refused = refusal.New(refusal.OwnerBusy, upstream+" is at its bound: try another or retry later")
+	case admission.ReasonAboveMean:
+		refused = refusal.New(refusal.AboveMean, upstream+" is above the mean of its pool: try another")
 	case admission.ReasonQueueFull:
 		refused = refusal.New(refusal.Overloaded, "too many requests wait for "+upstream+": retry after the given time")
 	case admission.ReasonDraining:
--- a/internal/refusal/refusal.go
+++ b/internal/refusal/refusal.go
@@ -56,6 +56,7 @@
 	DeadlineExceeded    Kind = "deadline_exceeded"
 	InternalError       Kind = "internal_error"
 	OwnerBusy           Kind = "over_bound"
+	AboveMean           Kind = "above_mean"
 	ConfigurationBehind Kind = "configuration_behind"
 )
 
@@ -115,6 +116,7 @@
 	NoMatchingUpstream: http.StatusForbidden,
 	Overloaded:         http.StatusTooManyRequests,
 	OwnerBusy:          http.StatusTooManyRequests,
+	AboveMean:          http.StatusTooManyRequests,
 	CrashContained:     http.StatusUnprocessableEntity,
 	StreamLost:         http.StatusGone,
 	UpstreamFailed:     http.StatusBadGateway,
--- a/internal/relay/failure.go
+++ b/internal/relay/failure.go
@@ -37,12 +37,10 @@
 func (s *session) afterRefusal(ctx context.Context, a attempt, refused *refusal.Refusal) *refusal.Refusal {
 	switch refused.Kind {
 	case refusal.OwnerBusy:
-		s.tried = append(s.tried, a.upstream)
-		s.relay.Metrics.Spilled.Inc(1)
-		if a.mayWait {
-			return s.final(refused)
-		}
-		return nil
+		s.full = append(s.full, a.ask.Upstream)
+		return s.afterNoRoom(a, refused)
+	case refusal.AboveMean, refusal.QueueTimeout:
+		return s.afterNoRoom(a, refused)
 	case refusal.StreamLost:
 		return s.afterStreamLost(ctx, a, refused)
 	case refusal.UpstreamFailed, refusal.NoLiveUpstream, refusal.Leaving, refusal.TooManyHops:
@@ -52,6 +50,16 @@
 	}
 }
 
+// afterNoRoom goes on to the next question, after the last one it ends the call.
+func (s *session) afterNoRoom(a attempt, refused *refusal.Refusal) *refusal.Refusal {
+	if a.ask.LastResort {
+		return s.final(refused)
+	}
+	s.asks = s.asks[1:]
+	s.relay.Metrics.Spilled.Inc(1)
+	return nil
+}
+
 // afterStreamLost goes on at another engine with the text that came so far.
 func (s *session) afterStreamLost(ctx context.Context, a attempt, refused *refusal.Refusal) *refusal.Refusal {
 	if s.resumeOnly {
@@ -71,8 +79,7 @@
 	if s.headSent && s.call.Chat == nil {
 		return s.final(refused)
 	}
-	s.tried = append(s.tried, a.upstream)
-	s.progress.failed = append(s.progress.failed, a.upstream)
+	s.progress.failed = append(s.progress.failed, a.ask.Upstream)
 	s.progress.stream = Position{}
 	return s.retryOrGiveUp(ctx, s.crashPause(refused))
 }
--- a/internal/relay/plan.go
+++ b/internal/relay/plan.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"sync"
 	"sync/atomic"
 
 	"github.com/verbenatrail/verbenatrail/internal/cluster"
@@ -13,6 +14,11 @@
 type Plan struct {
 	// Ranked are the names of the live, admitted upstreams, best first.
 	Ranked []string
+	// Cached is the number of upstreams at the front that are likely to hold
+	// part of the chat's prompt.
+	Cached int
+	// Key identifies the chat to the memory of chats.
+	Key uint64
 	// Revision is the configuration that the plan was made under.
 	Revision uint64
 }
@@ -24,13 +30,20 @@
 	drained  func(upstream string) bool
 	strategy placement.Strategy
 	nonce    atomic.Uint64
+
+	mu     sync.Mutex
+	memory *placement.Memory
 }
 
-// NewPlanner returns a planner over the given sources. The configuration may
-// be nil before the first revision is known.
+// NewPlanner returns a planner over the given sources, which remembers where a
+// number of chats ran. The configuration may be nil before the first revision
+// is known.
 func NewPlanner(config func() *fleet.Snapshot, view func() *cluster.View,
-	drained func(string) bool, strategy placement.Strategy) *Planner {
-	return &Planner{config: config, view: view, drained: drained, strategy: strategy}
+	drained func(string) bool, strategy placement.Strategy, rememberedChats int) *Planner {
+	return &Planner{
+		config: config, view: view, drained: drained, strategy: strategy,
+		memory: placement.NewMemory(rememberedChats),
+	}
 }
 
 // Plan ranks the upstreams that a workspace's traffic for a target may use.
@@ -55,7 +68,27 @@
 			"every upstream admitted for "+target+" is leaving or down: retry later").
 			WithRetryAfter(retryAfterNoUpstream)
 	}
-	return Plan{Ranked: p.rank(affinity, candidates), Revision: snapshot.Revision}, nil
+	plan := Plan{Ranked: p.rank(affinity, candidates), Key: placement.Key(affinity), Revision: snapshot.Revision}
+	plan.Cached = p.promote(plan)
+	return plan, nil
+}
+
+// promote moves the upstreams that ran the chat lately to the front.
+func (p *Planner) promote(plan Plan) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	places, known := p.memory.Recall(plan.Key)
+	if !known {
+		return 0
+	}
+	return places.Promote(plan.Ranked)
+}
+
+// Remember records that an upstream runs a turn of the chat.
+func (p *Planner) Remember(plan Plan, upstream string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.memory.Remember(plan.Key, upstream)
 }
 
 func checkTarget(s *fleet.Snapshot, workspace, target string, kind fleet.UpstreamKind) *refusal.Refusal {
--- a/internal/relay/receiver.go
+++ b/internal/relay/receiver.go
@@ -33,6 +33,9 @@
 	r.head = head
 	s := r.session
 	s.dispatched = true
+	if s.call.Chat != nil {
+		s.relay.Planner.Remember(s.plan, head.GetUpstream())
+	}
 	if s.headSent {
 		return nil
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -10,6 +10,7 @@
 	"github.com/verbenatrail/verbenatrail/internal/cluster"
 	"github.com/verbenatrail/verbenatrail/internal/fleet"
 	"github.com/verbenatrail/verbenatrail/internal/peerpb"
+	"github.com/verbenatrail/verbenatrail/internal/placement"
 	"github.com/verbenatrail/verbenatrail/internal/refusal"
 )
 
@@ -17,9 +18,10 @@
 	retryAfterStart      = time.Second
 	retryAfterNoUpstream = 2 * time.Second
 	retryAfterExhausted  = time.Second
-	// maxProbes bounds the owners that are asked in turn whether an upstream
-	// has room.
+	// maxProbes bounds the upstreams whose owners are asked for room.
 	maxProbes = 16
+	// bytesPerToken is the usual length of a token in a request's body.
+	bytesPerToken = 4
 	// maxUnreachable bounds the owners that can't be reached in one call.
 	maxUnreachable = 6
 )
@@ -69,6 +71,7 @@
 	// CrashPause is the least pause before a request whose engine crashed is
 	// sent again, in which other routers learn of the crash.
 	CrashPause time.Duration
+	Settings   Settings
 }
 
 // Relay serves calls. It is safe for concurrent use.
@@ -86,7 +89,7 @@
 	if refused != nil {
 		return refused
 	}
-	session := &session{relay: r, call: call, plan: plan, answer: answer}
+	session := &session{relay: r, call: call, plan: plan, answer: answer, asks: r.asks(call, plan)}
 	refused = session.run(ctx)
 	if refused == nil {
 		r.Retrier.Succeeded(time.Now(), call.Workspace, call.Target)
@@ -94,10 +97,21 @@
 	return refused
 }
 
+// asks returns the questions to owners for a call, in order.
+func (r *Relay) asks(call Call, plan Plan) []placement.Ask {
+	options := placement.AskOptions{Cached: plan.Cached, Probes: maxProbes}
+	if plan.Cached > 0 {
+		tokens := len(call.Chat.GetBody()) / bytesPerToken
+		options.Patience = placement.Patience(tokens, r.Settings.PrefillTokensPerSecond, r.Settings.PatienceFactor)
+	}
+	return placement.Asks(plan.Ranked, options)
+}
+
 // Resume passes on the rest of a chat's answer after a position that the
 // caller received.
 func (r *Relay) Resume(ctx context.Context, call Call, after Position, answer Answer) *refusal.Refusal {
-	session := &session{relay: r, call: call, answer: answer, resumeOnly: true}
+	plan := Plan{Key: placement.Key(call.Affinity)}
+	session := &session{relay: r, call: call, plan: plan, answer: answer, resumeOnly: true}
 	session.progress.tokens = after.Index + 1
 	session.progress.stream = after
 	return session.run(ctx)
--- a/internal/relay/session.go
+++ b/internal/relay/session.go
@@ -30,8 +30,10 @@
 	answer   Answer
 	progress progress
 
-	// tried are the upstreams that had no room or failed.
-	tried []string
+	// asks are the questions that are left, in order.
+	asks []placement.Ask
+	// full are the upstreams that had no room.
+	full []string
 	// unreachable are the routers that can't be reached.
 	unreachable []string
 	// attempts counts the sends that ended in a failure.
@@ -45,12 +47,9 @@
 
 // attempt is one request to one owner.
 type attempt struct {
-	upstream string
-	router   cluster.RouterView
-	resume   bool
-	mayWait  bool
-	// poolFull is set when every other admitted upstream refused for its bound.
-	poolFull bool
+	ask    placement.Ask
+	router cluster.RouterView
+	resume bool
 }
 
 func (s *session) run(ctx context.Context) *refusal.Refusal {
@@ -72,36 +71,43 @@
 // next chooses the upstream and the owner to ask.
 func (s *session) next() (attempt, *refusal.Refusal) {
 	if s.progress.stream.Stream != "" {
-		return s.withOwner(attempt{upstream: s.progress.stream.Engine, resume: true})
+		return s.withOwner(attempt{ask: placement.Ask{Upstream: s.progress.stream.Engine}, resume: true})
 	}
-	probes := min(len(s.plan.Ranked), maxProbes)
-	for _, upstream := range s.plan.Ranked[:probes] {
-		if !contains(s.tried, upstream) {
-			return s.withOwner(attempt{upstream: upstream})
+	for len(s.asks) > 0 {
+		ask := s.asks[0]
+		if !s.skip(ask) {
+			return s.withOwner(attempt{ask: ask})
 		}
+		s.asks = s.asks[1:]
 	}
-	return s.waitAttempt()
+	return s.lastResort()
 }
 
-// waitAttempt queues at the first upstream in rank that has not failed.
-func (s *session) waitAttempt() (attempt, *refusal.Refusal) {
+// skip leaves out the upstreams that can't take the call. The last resort is
+// left out only when its upstream failed.
+func (s *session) skip(ask placement.Ask) bool {
+	if contains(s.progress.failed, ask.Upstream) || !usable(s.relay.View(), ask.Upstream) {
+		return true
+	}
+	return !ask.LastResort && contains(s.full, ask.Upstream)
+}
+
+// lastResort waits at the best upstream that has not failed.
+func (s *session) lastResort() (attempt, *refusal.Refusal) {
 	for _, upstream := range s.plan.Ranked {
-		if usable(s.relay.View(), upstream) && !s.failedAt(upstream) {
-			poolFull := len(s.plan.Ranked) <= maxProbes
-			return s.withOwner(attempt{upstream: upstream, mayWait: true, poolFull: poolFull})
+		if s.skip(placement.Ask{Upstream: upstream, LastResort: true}) {
+			continue
 		}
+		s.asks = []placement.Ask{{Upstream: upstream, LastResort: true}}
+		return s.withOwner(attempt{ask: s.asks[0]})
 	}
 	return attempt{}, s.giveUp(refusal.NoLiveUpstream, "every admitted upstream failed: retry later", retryAfterNoUpstream)
 }
 
-func (s *session) failedAt(upstream string) bool {
-	return s.progress.failed != nil && contains(s.progress.failed, upstream)
-}
-
 func (s *session) withOwner(a attempt) (attempt, *refusal.Refusal) {
 	view := s.relay.View()
 	names := RouterNames(view, s.unreachable)
-	owner, ok := placement.Owner(a.upstream, names)
+	owner, ok := placement.Owner(a.ask.Upstream, names)
 	if !ok || len(s.unreachable) > maxUnreachable {
 		return a, s.giveUp(refusal.OwnerUnreachable, "no router can be reached for the upstream: retry later", retryAfterNoUpstream)
 	}
@@ -132,9 +138,11 @@
 func (s *session) request(a attempt) *peerpb.ForwardRequest {
 	request := &peerpb.ForwardRequest{
 		RequestId: s.call.RequestID, Workspace: s.call.Workspace, AffinityKey: s.call.Affinity,
-		Upstream: a.upstream, ConfigRevision: s.plan.Revision,
+		Upstream: a.ask.Upstream, ConfigRevision: s.plan.Revision,
 		TimeoutMs:   uint32(max(0, time.Until(s.call.Deadline).Milliseconds())),
-		Traceparent: s.call.Traceparent, Tried: s.tried, MayWait: a.mayWait, PoolFull: a.poolFull,
+		Traceparent: s.call.Traceparent,
+		MayWait:     a.ask.LastResort || a.ask.Wait > 0, WaitMs: uint32(a.ask.Wait.Milliseconds()),
+		PoolFull: a.ask.PoolFull, Flexible: a.ask.Flexible,
 		Priority: uint32(s.call.Priority), Fingerprint: s.call.Fingerprint,
 	}
 	switch {
