--- a/internal/configstore/manager_test.go
+++ b/internal/configstore/manager_test.go
@@ -85,7 +85,12 @@
 		}
 		time.Sleep(2 * time.Millisecond)
 	}
-	t.Fatalf("not all managers reached revision %d", revision)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for address, m := range n.managers {
+		t.Errorf("manager %s (watcher %v) is at revision %d of %d", address, m.options.IsWatcher(), m.Revision(), revision)
+	}
+	t.FailNow()
 }
 
 func (n *network) allAt(revision uint64) bool {
@@ -178,6 +183,12 @@
 	n.await(t, 1)
 	mustCommit(t, committer(store, "ana"), 1, engineChange("a", "2"))
 	n.await(t, 2)
+	silent := n.get("0").counters.silent
+	for deadline := time.Now().Add(waitLimit); silent.Count() == 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatal("the silent watch is kept")
+		}
+	}
 }
 
 func TestOversizedCommitAndCompactedWatch(t *testing.T) {
