Router: refusals of oversized and half-sent bodies reach the caller

A caller that still sent its body got a reset instead of the refusal, and one that stopped in the middle waited until the server had the rest. The body is now marked as given up before the refusal, so the server closes in order.

--- a/internal/daemon/fleet_test.go
+++ b/internal/daemon/fleet_test.go
@@ -62,6 +62,12 @@
 type fleetSize struct{ routers, engines, instances int }
 
 func startFleet(t *testing.T, size fleetSize) *testFleet {
+	t.Helper()
+	return startFleetWith(t, size, func(*RouterSettings) {})
+}
+
+// startFleetWith changes the settings of each router before it starts.
+func startFleetWith(t *testing.T, size fleetSize, change func(*RouterSettings)) *testFleet {
 	t.Helper()
 	f := &testFleet{
 		t: t, engines: map[string]*engine.Server{}, instances: map[string]*service.Server{},
@@ -71,6 +77,7 @@
 	settings := make([]RouterSettings, 0, size.routers)
 	for i := 1; i <= size.routers; i++ {
 		s := f.routerSettings(fmt.Sprintf("router-%d", i))
+		change(&s)
 		settings = append(settings, s)
 		f.listed = append(f.listed, s.host(hostlist.KindRouter))
 	}
--- a/internal/router/request.go
+++ b/internal/router/request.go
@@ -88,6 +88,7 @@
 		size = s.settings.MaxBodyBytes
 	}
 	if size > s.settings.MaxBodyBytes {
+		closeAfterRefusal(w, r)
 		return nil, nil, s.bodyTooLarge()
 	}
 	if !s.bodies.TryAcquire(size) {
@@ -103,12 +104,24 @@
 	return body, release, nil
 }
 
+// closeAfterRefusal makes the server close the connection in the way that lets
+// the caller read the refusal while it still sends its body.
+func closeAfterRefusal(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("Connection", "close")
+	_, _ = http.MaxBytesReader(w, r.Body, 0).Read(make([]byte, 1))
+}
+
 func (s *Server) readWithin(w http.ResponseWriter, r *http.Request) ([]byte, error) {
 	controller := http.NewResponseController(w)
 	_ = controller.SetReadDeadline(time.Now().Add(s.settings.BodyTimeout.Std()))
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, s.settings.MaxBodyBytes))
+	if err != nil {
+		// Otherwise the server waits for the rest of the body before it answers.
+		w.Header().Set("Connection", "close")
+		return nil, err
+	}
 	_ = controller.SetReadDeadline(time.Time{})
-	return body, err
+	return body, nil
 }
 
 func (s *Server) bodyError(err error) *refusal.Refusal {
