Traces: a span for each hop, joined by traceparent

Router, owner, engine stream, claim holder and service call each add a span to the caller's trace, over yamux too.

--- a/internal/actions/holder.go
+++ b/internal/actions/holder.go
@@ -6,6 +6,7 @@
 
 	"github.com/google/uuid"
 	"github.com/pkg/errors"
+	"go.opentelemetry.io/otel/attribute"
 
 	"github.com/verbenatrail/verbenatrail/internal/claims"
 	"github.com/verbenatrail/verbenatrail/internal/cluster"
@@ -15,6 +16,7 @@
 	"github.com/verbenatrail/verbenatrail/internal/refusal"
 	"github.com/verbenatrail/verbenatrail/internal/relay"
 	"github.com/verbenatrail/verbenatrail/internal/serviceclient"
+	"github.com/verbenatrail/verbenatrail/internal/telemetry"
 )
 
 // Holder runs the actions of the claim slots that this router holds.
@@ -39,6 +41,9 @@
 		return nil, refused
 	}
 	action := claims.Action{Key: key, Workspace: request.GetWorkspace(), Fingerprint: callFingerprint(request)}
+	ctx, span := telemetry.StartSpan(telemetry.WithTraceparent(ctx, request.GetTraceparent()), "holder.action",
+		attribute.String("service", request.GetCall().GetService()))
+	defer span.End()
 	result, refused := h.Claims.Do(ctx, action, func(ctx context.Context) (claims.Result, error) {
 		return h.dispatch(ctx, plan, request.GetCall())
 	})
--- a/internal/engineclient/client.go
+++ b/internal/engineclient/client.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/verbenatrail/verbenatrail/internal/engineapi"
+	"github.com/verbenatrail/verbenatrail/internal/telemetry"
 )
 
 // Errors of an answer stream. Callers test for them with errors.Is.
@@ -107,6 +108,7 @@
 
 func (c *Client) open(ctx context.Context, request *http.Request, requestID string, first uint32,
 	timeout time.Duration) (*Stream, error) {
+	telemetry.InjectHTTP(ctx, request.Header)
 	ctx, cancel := context.WithCancelCause(ctx)
 	watchdog := time.AfterFunc(timeout, func() { cancel(ErrStalled) })
 	response, err := c.http.Do(request.WithContext(ctx))
--- a/internal/owner/chat.go
+++ b/internal/owner/chat.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"go.opentelemetry.io/otel/attribute"
 
 	"github.com/verbenatrail/verbenatrail/internal/engineapi"
 	"github.com/verbenatrail/verbenatrail/internal/engineclient"
@@ -14,6 +15,7 @@
 	"github.com/verbenatrail/verbenatrail/internal/membership"
 	"github.com/verbenatrail/verbenatrail/internal/peerpb"
 	"github.com/verbenatrail/verbenatrail/internal/refusal"
+	"github.com/verbenatrail/verbenatrail/internal/telemetry"
 )
 
 // maxResumes bounds the new connections that one answer may need at its engine.
@@ -50,6 +52,8 @@
 		fingerprint: request.GetFingerprint(), base: call.GetGeneratedTokens(), sink: sink,
 	}
 	priority := fleet.Priority(request.GetPriority()).String()
+	ctx, span := telemetry.StartSpan(ctx, "engine.stream", attribute.String("engine", t.declared.Name))
+	defer span.End()
 	stream, err := o.Engines.Start(ctx, t.address, run.requestID, priority, body)
 	if err != nil {
 		failure := run.startFailure(err)
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+	"go.opentelemetry.io/otel/attribute"
 
 	"github.com/verbenatrail/verbenatrail/internal/cluster"
 	"github.com/verbenatrail/verbenatrail/internal/engineclient"
@@ -16,6 +17,7 @@
 	"github.com/verbenatrail/verbenatrail/internal/peerpb"
 	"github.com/verbenatrail/verbenatrail/internal/refusal"
 	"github.com/verbenatrail/verbenatrail/internal/serviceclient"
+	"github.com/verbenatrail/verbenatrail/internal/telemetry"
 )
 
 const (
@@ -101,6 +103,14 @@
 // Serve runs one forwarded call and passes its events to sink. It returns nil
 // after the end of a whole answer, the refusal otherwise.
 func (o *Owner) Serve(ctx context.Context, request *peerpb.ForwardRequest, sink Sink) error {
+	ctx, span := telemetry.StartSpan(telemetry.WithTraceparent(ctx, request.GetTraceparent()), "owner.serve",
+		attribute.String("upstream", request.GetUpstream()))
+	err := o.serve(ctx, request, sink)
+	telemetry.EndSpan(span, err)
+	return err
+}
+
+func (o *Owner) serve(ctx context.Context, request *peerpb.ForwardRequest, sink Sink) error {
 	upstream, refused := o.upstream(request)
 	if refused != nil {
 		return refused
--- a/internal/router/chat.go
+++ b/internal/router/chat.go
@@ -10,6 +10,7 @@
 	"github.com/verbenatrail/verbenatrail/internal/peerpb"
 	"github.com/verbenatrail/verbenatrail/internal/refusal"
 	"github.com/verbenatrail/verbenatrail/internal/relay"
+	"github.com/verbenatrail/verbenatrail/internal/telemetry"
 )
 
 // maxTokensLimit bounds the max_tokens that a caller may ask for.
@@ -62,7 +63,7 @@
 		RequestID: info.requestID, Workspace: info.workspace, Affinity: affinity,
 		Target: request.Model, Kind: fleet.KindEngine, Priority: info.priority,
 		Deadline: deadline, Fingerprint: relay.Fingerprint(info.workspace, string(body)),
-		Traceparent: traceparent(r.Context()), Chat: &peerpb.ChatCall{Body: body},
+		Traceparent: telemetry.Traceparent(r.Context()), Chat: &peerpb.ChatCall{Body: body},
 	}
 }
 
--- a/internal/router/request.go
+++ b/internal/router/request.go
@@ -1,7 +1,6 @@
 package router
 
 import (
-	"context"
 	"io"
 	"net/http"
 	"os"
@@ -10,8 +9,6 @@
 
 	"github.com/google/uuid"
 	"github.com/pkg/errors"
-	"go.opentelemetry.io/otel"
-	"go.opentelemetry.io/otel/propagation"
 
 	"github.com/verbenatrail/verbenatrail/internal/fleet"
 	"github.com/verbenatrail/verbenatrail/internal/refusal"
@@ -139,16 +136,3 @@
 	limit := strconv.FormatInt(s.settings.MaxBodyBytes, 10)
 	return refusal.New(refusal.BodyTooLarge, "the body exceeds "+limit+" bytes: shorten it")
 }
-
-// traceContext continues the caller's trace.
-func traceContext(r *http.Request) context.Context {
-	carrier := propagation.HeaderCarrier(r.Header)
-	return otel.GetTextMapPropagator().Extract(r.Context(), carrier)
-}
-
-// traceparent returns the header that continues the trace at the next hop.
-func traceparent(ctx context.Context) string {
-	carrier := propagation.MapCarrier{}
-	otel.GetTextMapPropagator().Inject(ctx, carrier)
-	return carrier.Get("traceparent")
-}
--- a/internal/router/server.go
+++ b/internal/router/server.go
@@ -8,15 +8,14 @@
 	"time"
 
 	"github.com/rcrowley/go-metrics"
-	"go.opentelemetry.io/otel"
 	"go.opentelemetry.io/otel/attribute"
-	"go.opentelemetry.io/otel/trace"
 	"golang.org/x/sync/semaphore"
 
 	"github.com/verbenatrail/verbenatrail/internal/fleet"
 	"github.com/verbenatrail/verbenatrail/internal/peerpb"
 	"github.com/verbenatrail/verbenatrail/internal/refusal"
 	"github.com/verbenatrail/verbenatrail/internal/relay"
+	"github.com/verbenatrail/verbenatrail/internal/telemetry"
 )
 
 const (
@@ -26,7 +25,6 @@
 	maxHeaderBytes    = 16 << 10
 	// writeTimeout bounds one write to a caller that no longer reads.
 	writeTimeout = 10 * time.Second
-	tracerName   = "verbenatrail/router"
 )
 
 // Actions runs non-idempotent calls, at the holder of the key's claim slot.
@@ -56,7 +54,6 @@
 	metrics  *serverMetrics
 	bodies   *semaphore.Weighted
 	open     atomic.Int64
-	tracer   trace.Tracer
 }
 
 // NewServer returns a server.
@@ -65,7 +62,6 @@
 		settings: o.Settings, config: o.Config, relay: o.Relay, actions: o.Actions, moveTo: o.MoveTo,
 		metrics: newServerMetrics(o.Registry),
 		bodies:  semaphore.NewWeighted(o.Settings.MaxHeldBodyBytes),
-		tracer:  otel.Tracer(tracerName),
 	}
 }
 
@@ -75,8 +71,8 @@
 		w.Header().Set(HeaderMoveTo, moveTo)
 		w.Header().Set("Connection", "close")
 	}
-	ctx, span := s.tracer.Start(traceContext(r), "router "+r.Method,
-		trace.WithAttributes(attribute.String("http.request.method", r.Method), attribute.String("url.path", r.URL.Path)))
+	ctx, span := telemetry.StartSpan(telemetry.ExtractHTTP(r.Context(), r.Header), "router.receive",
+		attribute.String("http.request.method", r.Method), attribute.String("url.path", r.URL.Path))
 	defer span.End()
 	info, refused := s.readInfo(r)
 	w.Header().Set(HeaderRequestID, info.requestID)
--- a/internal/router/service.go
+++ b/internal/router/service.go
@@ -13,6 +13,7 @@
 	"github.com/verbenatrail/verbenatrail/internal/refusal"
 	"github.com/verbenatrail/verbenatrail/internal/relay"
 	"github.com/verbenatrail/verbenatrail/internal/serviceclient"
+	"github.com/verbenatrail/verbenatrail/internal/telemetry"
 )
 
 // actionKeyVersion is the UUID version that carries the time of issue.
@@ -95,7 +96,7 @@
 		RequestID: info.requestID, Workspace: info.workspace, Affinity: info.requestID,
 		Target: call.GetService(), Kind: fleet.KindService, Priority: info.priority, Deadline: deadline,
 		Fingerprint: relay.Fingerprint(info.workspace, call.GetMethod(), call.GetPath(), string(call.GetBody())),
-		Traceparent: traceparent(r.Context()), Service: call,
+		Traceparent: telemetry.Traceparent(r.Context()), Service: call,
 	}, answer)
 	if refused == nil {
 		return
@@ -116,7 +117,7 @@
 	result, refused := s.actions.RunAction(r.Context(), &peerpb.ActionRequest{
 		RequestId: info.requestID, Workspace: info.workspace, ActionKey: key.String(), Call: call,
 		ConfigRevision: s.config().Revision, TimeoutMs: uint32(info.timeout.Milliseconds()),
-		Traceparent: traceparent(r.Context()),
+		Traceparent: telemetry.Traceparent(r.Context()),
 	})
 	if refused != nil {
 		s.refuse(w, info, refused)
--- a/internal/serviceclient/client.go
+++ b/internal/serviceclient/client.go
@@ -14,8 +14,10 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"go.opentelemetry.io/otel/attribute"
 
 	"github.com/verbenatrail/verbenatrail/internal/peerpb"
+	"github.com/verbenatrail/verbenatrail/internal/telemetry"
 )
 
 // Errors of a call. Callers test for them with errors.Is.
@@ -86,6 +88,13 @@
 }
 
 func (c *Client) send(ctx context.Context, client *http.Client, address string, call *peerpb.ServiceCall) (*Response, error) {
+	ctx, span := telemetry.StartSpan(ctx, "service.call", attribute.String("service", call.GetService()))
+	response, err := c.exchange(ctx, client, address, call)
+	telemetry.EndSpan(span, err)
+	return response, err
+}
+
+func (c *Client) exchange(ctx context.Context, client *http.Client, address string, call *peerpb.ServiceCall) (*Response, error) {
 	var connected atomic.Bool
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
 	request, err := newRequest(httptrace.WithClientTrace(ctx, trace), address, call)
@@ -111,6 +120,7 @@
 	for _, header := range call.GetHeaders() {
 		request.Header.Add(header.GetName(), header.GetValue())
 	}
+	telemetry.InjectHTTP(ctx, request.Header)
 	return request, nil
 }
 
