--- a/internal/daemon/settings.go
+++ b/internal/daemon/settings.go
@@ -37,8 +37,11 @@
 
 // Common are the settings that routers and directories share.
 type Common struct {
-	Name          string             `yaml:"name" validate:"required,max=64"`
-	Region        string             `yaml:"region" validate:"required,max=64"`
+	// Name is the process's name in the host list.
+	Name string `yaml:"name" validate:"required,max=64"`
+	// Region is the region of the process's host.
+	Region string `yaml:"region" validate:"required,max=64"`
+	// FailureDomain is the failure domain of the process's host.
 	FailureDomain string             `yaml:"failure_domain" validate:"required,max=64"`
 	Listen        Listen             `yaml:"listen"`
 	Platform      Platform           `yaml:"platform"`
