--- /dev/null
+++ b/internal/relay/relay_test.go
@@ -0,0 +1,227 @@
+package relay
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+	"github.com/pkg/errors"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/verbenatrail/verbenatrail/internal/cluster"
+	"github.com/verbenatrail/verbenatrail/internal/fleet"
+	"github.com/verbenatrail/verbenatrail/internal/peerpb"
+	"github.com/verbenatrail/verbenatrail/internal/placement"
+	"github.com/verbenatrail/verbenatrail/internal/refusal"
+)
+
+const answerTokens = 12
+
+// tokenAt is the token that every engine generates at an index.
+func tokenAt(index uint32) string { return fmt.Sprintf("t%d ", index) }
+
+func wholeText() string {
+	var b strings.Builder
+	for i := range uint32(answerTokens) {
+		b.WriteString(tokenAt(i))
+	}
+	return b.String()
+}
+
+// randomTransport plays owners and engines that fail in random ways.
+type randomTransport struct {
+	rng *rand.Rand
+	// failures is the number of attempts that may still fail.
+	failures int
+}
+
+var attemptErrors = []error{
+	errors.Wrap(ErrOwnerUnreachable, "test"),
+	errors.Wrap(ErrLink, "test"),
+	refusal.New(refusal.OwnerBusy, "test"),
+	refusal.New(refusal.AboveMean, "test"),
+	refusal.New(refusal.Leaving, "test"),
+	refusal.New(refusal.UpstreamFailed, "test"),
+	refusal.NewUnknown(refusal.UpstreamFailed, "test"),
+	refusal.NewUnknown(refusal.StreamLost, "test"),
+}
+
+func (r *randomTransport) Forward(_ context.Context, _ cluster.RouterView, request *peerpb.ForwardRequest,
+	receive func(*peerpb.ForwardEvent) error) error {
+	fails := r.failures > 0 && r.rng.IntN(3) > 0
+	if fails {
+		r.failures--
+	}
+	if fails && r.rng.IntN(2) == 0 {
+		return attemptErrors[r.rng.IntN(len(attemptErrors))]
+	}
+	first, base := firstToken(request)
+	if err := receive(headEvent(request.GetUpstream(), base)); err != nil {
+		return err
+	}
+	last := uint32(answerTokens)
+	if fails {
+		last = min(last, first+uint32(r.rng.IntN(answerTokens)))
+	}
+	for i := first; i < last; i++ {
+		if err := receive(tokenEvent(i)); err != nil {
+			return err
+		}
+	}
+	if fails {
+		return attemptErrors[r.rng.IntN(len(attemptErrors))]
+	}
+	return receive(&peerpb.ForwardEvent{Event: &peerpb.ForwardEvent_End{End: &peerpb.AnswerEnd{}}})
+}
+
+// firstToken returns the first token of an attempt and its stream's base.
+func firstToken(request *peerpb.ForwardRequest) (first, base uint32) {
+	if resume := request.GetResume(); resume != nil {
+		return resume.GetBaseToken() + resume.GetAfterToken(), resume.GetBaseToken()
+	}
+	base = request.GetChat().GetGeneratedTokens()
+	return base, base
+}
+
+func headEvent(upstream string, base uint32) *peerpb.ForwardEvent {
+	head := &peerpb.ResponseHead{Upstream: upstream, StreamId: "s", StreamRequestId: "r", BaseToken: base}
+	return &peerpb.ForwardEvent{Event: &peerpb.ForwardEvent_Head{Head: head}}
+}
+
+func tokenEvent(index uint32) *peerpb.ForwardEvent {
+	chunk := &peerpb.TokenChunk{Index: index, Text: tokenAt(index)}
+	return &peerpb.ForwardEvent{Event: &peerpb.ForwardEvent_Token{Token: chunk}}
+}
+
+// recordedAnswer is what a caller received.
+type recordedAnswer struct {
+	text  strings.Builder
+	heads int
+	ended bool
+}
+
+func (a *recordedAnswer) Head(*peerpb.ResponseHead) error { a.heads++; return nil }
+func (a *recordedAnswer) Token(_ Position, text string) error {
+	a.text.WriteString(text)
+	return nil
+}
+func (a *recordedAnswer) Body([]byte) error           { return nil }
+func (a *recordedAnswer) End(*peerpb.AnswerEnd) error { a.ended = true; return nil }
+
+// freeRetrier allows a number of retries without a pause.
+type freeRetrier struct{ left int }
+
+func (r *freeRetrier) Failed(time.Time, string, string, int, time.Time) (time.Duration, bool) {
+	r.left--
+	return 0, r.left >= 0
+}
+func (r *freeRetrier) Succeeded(time.Time, string, string) {}
+
+func testView() *cluster.View {
+	view := &cluster.View{Upstreams: map[string]cluster.UpstreamView{}}
+	for i := range 4 {
+		name := fmt.Sprintf("router-%d", i)
+		view.Routers = append(view.Routers, cluster.RouterView{Name: name})
+		view.Owners = append(view.Owners, name)
+	}
+	for i := range 5 {
+		name := fmt.Sprintf("engine-%d", i)
+		view.Upstreams[name] = cluster.UpstreamView{Name: name}
+	}
+	return view
+}
+
+func testSnapshot() *fleet.Snapshot {
+	pool := &fleet.Pool{Name: "m"}
+	snapshot := &fleet.Snapshot{
+		Revision: 1, Models: map[string]bool{"m": true}, Pools: []*fleet.Pool{pool},
+		Workspaces: map[string]*fleet.Workspace{"w": {Name: "w", Weight: 1}},
+		Grants:     map[string][]*fleet.Grant{"w": {{Targets: map[string][]int{"m": {0}}}}},
+	}
+	for i := range 5 {
+		pool.Upstreams = append(pool.Upstreams, &fleet.Upstream{Name: fmt.Sprintf("engine-%d", i), Weight: 1})
+	}
+	return snapshot
+}
+
+func testRelay(transport Transport, retries int) *Relay {
+	view := testView()
+	planner := NewPlanner(testSnapshot, func() *cluster.View { return view }, func(string) bool { return false },
+		placement.Rendezvous{}, 10)
+	return New(Options{
+		Planner: planner, View: func() *cluster.View { return view }, Transport: transport,
+		Retrier: &freeRetrier{left: retries}, Metrics: NewMetrics(metrics.NewRegistry()), Settings: DefaultSettings(),
+	})
+}
+
+func testCall() Call {
+	return Call{
+		RequestID: "r", Workspace: "w", Affinity: "w/c", Target: "m", Kind: fleet.KindEngine,
+		Deadline: time.Now().Add(time.Hour), Chat: &peerpb.ChatCall{Body: []byte("{}")},
+	}
+}
+
+// Whatever fails between the caller and the engines, the caller receives a
+// prefix of the answer, each token once; the end only after the whole; and a
+// refusal otherwise, which is "not run" only when nothing was received.
+func TestAnswerIsWholeOrRefused(t *testing.T) {
+	parameters := gopter.DefaultTestParametersWithSeed(7)
+	parameters.MinSuccessfulTests = 3000
+	properties := gopter.NewProperties(parameters)
+	properties.Property("each token once, in order", prop.ForAll(
+		func(seed uint64, failures, retries int) string {
+			transport := &randomTransport{rng: rand.New(rand.NewPCG(seed, 1)), failures: failures}
+			answer := &recordedAnswer{}
+			refused := testRelay(transport, retries).Serve(context.Background(), testCall(), answer)
+			return checkAnswer(answer, refused)
+		},
+		gen.UInt64(), gen.IntRange(0, 12), gen.IntRange(0, 6)))
+	properties.TestingRun(t)
+}
+
+// checkAnswer returns what is wrong with an answer, or an empty string.
+func checkAnswer(answer *recordedAnswer, refused *refusal.Refusal) string {
+	text := answer.text.String()
+	switch {
+	case !strings.HasPrefix(wholeText(), text):
+		return "not a prefix of the answer: " + text
+	case answer.heads > 1:
+		return "more than one head"
+	case answer.ended && (text != wholeText() || refused != nil):
+		return "ended without the whole answer"
+	case !answer.ended && refused == nil:
+		return "neither ended nor refused"
+	case text != "" && refused != nil && refused.Outcome == refusal.NotRun:
+		return "refused as not run after a token"
+	default:
+		return ""
+	}
+}
+
+func TestPositionSurvivesItsTextForm(t *testing.T) {
+	want := Position{Engine: "engine-1", Stream: "s", Request: "r", Base: 3, Index: 9}
+	got, err := ParsePosition(want.String())
+	if err != nil || got != want {
+		t.Errorf("got %+v, %v, want %+v", got, err, want)
+	}
+}
+
+func FuzzParsePosition(f *testing.F) {
+	f.Add("engine-1~s~r~3~9")
+	f.Add("~~~~")
+	f.Fuzz(func(t *testing.T, text string) {
+		position, err := ParsePosition(text)
+		if err != nil {
+			return
+		}
+		if again, err := ParsePosition(position.String()); err != nil || again != position {
+			t.Errorf("%q reads as %+v, and then as %+v, %v", text, position, again, err)
+		}
+	})
+}
