Relay: the property test really sends calls

The view is mended and the test now requires at least 100 whole answers and 100 refusals in its 3,000 runs.

--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -132,7 +132,7 @@
 	}
 	for i := range 5 {
 		name := fmt.Sprintf("engine-%d", i)
-		view.Upstreams[name] = cluster.UpstreamView{Name: name}
+		view.Upstreams[name] = cluster.UpstreamView{Name: name, State: cluster.Live}
 	}
 	return view
 }
@@ -174,15 +174,24 @@
 	parameters := gopter.DefaultTestParametersWithSeed(7)
 	parameters.MinSuccessfulTests = 3000
 	properties := gopter.NewProperties(parameters)
+	whole, refusals := 0, 0
 	properties.Property("each token once, in order", prop.ForAll(
 		func(seed uint64, failures, retries int) string {
 			transport := &randomTransport{rng: rand.New(rand.NewPCG(seed, 1)), failures: failures}
 			answer := &recordedAnswer{}
 			refused := testRelay(transport, retries).Serve(context.Background(), testCall(), answer)
+			if refused == nil {
+				whole++
+			} else {
+				refusals++
+			}
 			return checkAnswer(answer, refused)
 		},
 		gen.UInt64(), gen.IntRange(0, 12), gen.IntRange(0, 6)))
 	properties.TestingRun(t)
+	if whole < 100 || refusals < 100 {
+		t.Errorf("%d whole answers and %d refusals: the property was hardly tried", whole, refusals)
+	}
 }
 
 // checkAnswer returns what is wrong with an answer, or an empty string.
