Admission: ageing counts from the last service; reserve by square-root staffing

A quiet workspace waited 5.3 s on average while another surged 10x: the surging one's backlog aged past it into the highest class. Ageing now counts from the last start of the same workspace and class, so only those that aren't served rise. The reserve of a fixed fraction is replaced by one that grows with the load of the others and leaves a sole workspace all places. Ruled out: use averaged over 10 to 40 s in place of the count in flight (0.30 s to 0.44 s; the surging workspace then comes in bursts).

--- a/internal/admission/fairqueue.go
+++ b/internal/admission/fairqueue.go
@@ -20,7 +20,9 @@
 	class     fleet.Priority
 	// start is the virtual time at which the head may start.
 	start float64
-	queue []*waiting
+	// served is when the flow's last request started.
+	served time.Time
+	queue  []*waiting
 }
 
 // fairQueue orders waiting requests by class with ageing, then by start-time
@@ -107,6 +109,7 @@
 	head := best.queue[0]
 	q.charge(head.request, q.startOf(best))
 	best.start = q.finish[best.workspace]
+	best.served = now
 	q.removeAt(best, 0)
 	return head
 }
@@ -128,9 +131,15 @@
 // workspace has started in other classes since.
 func (q *fairQueue) startOf(f *flow) float64 { return max(f.start, q.finish[f.workspace]) }
 
-// agedClass is the class of a flow's head, one higher for each ageing step.
+// agedClass is the class of a flow's head, one higher for each ageing step in
+// which nothing of the flow was served. A workspace that waits because of its
+// own backlog doesn't rise.
 func (q *fairQueue) agedClass(now time.Time, f *flow) fleet.Priority {
-	steps := now.Sub(f.queue[0].arrived) / q.ageingStep
+	since := f.queue[0].arrived
+	if f.served.After(since) {
+		since = f.served
+	}
+	steps := now.Sub(since) / q.ageingStep
 	return min(f.class+fleet.Priority(steps), fleet.PriorityHigh)
 }
 
--- a/internal/admission/scheduler.go
+++ b/internal/admission/scheduler.go
@@ -18,8 +18,7 @@
 	queue    *fairQueue
 	service  serviceTime
 	running  map[uint64]running
-	// held counts the requests in flight by workspace.
-	held     map[string]int
+	held     map[string]holding
 	foreign  int
 	draining bool
 }
@@ -32,7 +31,7 @@
 		bound:    bound{multiple: s.Multiple - s.Headroom, capacity: capacity},
 		queue:    newFairQueue(s.AgeingStep.Std()),
 		running:  make(map[uint64]running),
-		held:     make(map[string]int),
+		held:     make(map[string]holding),
 	}
 }
 
@@ -54,7 +53,7 @@
 		return s.refuse(now, reason)
 	}
 	switch {
-	case !s.mayStart(now, r.Workspace):
+	case !s.mayStart(now, r.Workspace, s.shares()):
 	case s.placesKeptFrom(now, r):
 		return s.refuse(now, ReasonAboveMean)
 	default:
@@ -143,10 +142,7 @@
 		return nil
 	}
 	delete(s.running, id)
-	s.held[run.workspace]--
-	if s.held[run.workspace] == 0 {
-		delete(s.held, run.workspace)
-	}
+	s.release(run.workspace)
 	return s.dispatch(now)
 }
 
@@ -207,9 +203,9 @@
 	for _, w := range s.queue.removeExpired(now) {
 		effects = append(effects, s.refusal(now, w.request.ID, ReasonDeadline))
 	}
-	eligible := func(workspace string) bool { return s.mayStart(now, workspace) }
-	for s.hasRoom(now) {
-		next := s.queue.pop(now, eligible)
+	for s.queue.length > 0 && s.hasRoom(now) {
+		shares := s.shares()
+		next := s.queue.pop(now, func(workspace string) bool { return s.mayStart(now, workspace, shares) })
 		if next == nil {
 			break
 		}
@@ -224,18 +220,15 @@
 
 func (s *Scheduler) hasRoom(now time.Time) bool { return s.load() < s.bound.limit(now) }
 
-// mayStart reports whether a workspace may take a place. The last places of
-// the capacity are open to quiet workspaces only, so that these needn't wait
-// while others surge.
-func (s *Scheduler) mayStart(now time.Time, workspace string) bool {
-	limit := s.bound.limit(now)
-	if s.load() >= limit {
+// mayStart reports whether a workspace may take a place.
+func (s *Scheduler) mayStart(now time.Time, workspace string, shares shares) bool {
+	if !s.hasRoom(now) {
 		return false
 	}
-	if s.load() < s.bound.capacity-s.reserved() || s.bound.capacity == 0 {
+	if s.bound.capacity == 0 || s.load() < s.bound.capacity-shares.reserve {
 		return true
 	}
-	return float64(s.held[workspace]) < s.settings.QuietFraction*float64(limit)
+	return !shares.over(s.held[workspace])
 }
 
 // placesKeptFrom reports whether a request may not take the places left, as
@@ -244,13 +237,21 @@
 	return r.Flexible && s.load() >= s.bound.flexibleLimit(now)
 }
 
-func (s *Scheduler) reserved() int {
-	return int(float64(s.bound.capacity) * s.settings.ReservedFraction)
-}
-
 func (s *Scheduler) start(now time.Time, r Request) {
 	s.running[r.ID] = running{workspace: r.Workspace, started: now}
-	s.held[r.Workspace]++
+	held := s.held[r.Workspace]
+	s.held[r.Workspace] = holding{count: held.count + 1, weight: r.Weight}
+}
+
+// release gives back a place of a workspace.
+func (s *Scheduler) release(workspace string) {
+	held := s.held[workspace]
+	held.count--
+	if held.count == 0 {
+		delete(s.held, workspace)
+		return
+	}
+	s.held[workspace] = held
 }
 
 func (s *Scheduler) refuse(now time.Time, reason Reason) Decision {
--- a/internal/admission/types.go
+++ b/internal/admission/types.go
@@ -21,25 +21,23 @@
 	MaxQueue int `yaml:"max_queue" validate:"gte=0"`
 	// DefaultWait bounds the wait of a request that has no deadline.
 	DefaultWait settings.Duration `yaml:"default_wait" validate:"gt=0"`
-	// AgeingStep is the wait after which a request counts as one class higher.
+	// AgeingStep is the time without service after which the waiting requests
+	// of a workspace and class count as one class higher.
 	AgeingStep settings.Duration `yaml:"ageing_step" validate:"gt=0"`
-	// ReservedFraction of the capacity is open only to quiet workspaces.
-	ReservedFraction float64 `yaml:"reserved_fraction" validate:"gte=0,lt=1"`
-	// QuietFraction of the limit is the number of requests in flight below
-	// which a workspace counts as quiet.
-	QuietFraction float64 `yaml:"quiet_fraction" validate:"gte=0,lte=1"`
+	// ReserveFactor sizes the places that are kept free of workspaces over their
+	// share: the factor times the square root of the places that the others hold.
+	ReserveFactor float64 `yaml:"reserve_factor" validate:"gte=0"`
 }
 
 // DefaultSettings returns the settings of a production router.
 func DefaultSettings() Settings {
 	return Settings{
-		Multiple:         1.25,
-		Headroom:         0.1,
-		MaxQueue:         256,
-		DefaultWait:      settings.Duration(30 * time.Second),
-		AgeingStep:       settings.Duration(5 * time.Second),
-		ReservedFraction: 0.125,
-		QuietFraction:    0.1,
+		Multiple:      1.25,
+		Headroom:      0.1,
+		MaxQueue:      256,
+		DefaultWait:   settings.Duration(30 * time.Second),
+		AgeingStep:    settings.Duration(5 * time.Second),
+		ReserveFactor: 1.5,
 	}
 }
 
