Capacity: slopes of costs against the size of a fleet

make capacity starts fleets of several sizes on loopback from a script, vt-capacity drives and samples them, fits lines and writes the tables. Daemons report their processor time and memory as gauges.

--- a/Makefile
+++ b/Makefile
@@ -1,10 +1,10 @@
-# Targets: build, test, demo, generate, fmt. `make test` is what CI runs.
+# Targets: build, test, demo, generate, fmt, capacity. `make test` is what CI runs.
 GO ?= go
 TOOL = $(GO) tool -modfile=tools/go.mod
 BIN = bin
 GENERATED = internal/peerpb/peer.pb.go internal/journalpb/journal.pb.go
 
-.PHONY: build test check generate generated-current fmt demo traces
+.PHONY: build test check generate generated-current fmt demo traces capacity
 
 build:
 	$(GO) build -o $(BIN)/ ./cmd/...
@@ -32,3 +32,8 @@
 traces: build
 	$(BIN)/vt-replay generate --profile shrestha --seed 1 --out traces/shrestha.jsonl
 	$(BIN)/vt-replay generate --profile litoral --seed 2 --out traces/litoral.jsonl
+
+# Measures the slopes of docs/CAPACITY.md; about ten minutes. SEED and CASES
+# choose the load and the cases.
+capacity: build
+	scripts/capacity.sh
--- /dev/null
+++ b/cmd/vt-capacity/measure.go
@@ -0,0 +1,125 @@
+package main
+
+import (
+	"context"
+	"os"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+	"github.com/spf13/cobra"
+
+	"github.com/verbenatrail/verbenatrail/internal/capacity"
+)
+
+const (
+	idleLength   = 10 * time.Second
+	outageLength = 6 * time.Second
+)
+
+// measurement is one run of vt-capacity measure.
+type measurement struct {
+	dir, out, against string
+	phases            []string
+}
+
+func newMeasureCommand() *cobra.Command {
+	var m measurement
+	cmd := &cobra.Command{
+		Use:   "measure",
+		Short: "Measure a running fleet",
+		Args:  cobra.NoArgs,
+		RunE:  func(cmd *cobra.Command, _ []string) error { return m.run(cmd.Context()) },
+	}
+	addDirFlag(cmd, &m.dir)
+	addOutFlag(cmd, &m.out)
+	cmd.Flags().StringVar(&m.against, "against", capacity.AgainstRouters, "size that the runs vary")
+	cmd.Flags().StringSliceVar(&m.phases, "phases", []string{"start", "idle"},
+		"of start, idle, changes, outage, chats, actions, lookups, lookup-cost, steward and open, in order")
+	return cmd
+}
+
+func addOutFlag(cmd *cobra.Command, out *string) {
+	cmd.Flags().StringVar(out, "out", "", "file that observations are added to (required)")
+	_ = cmd.MarkFlagRequired("out")
+}
+
+func (m *measurement) run(ctx context.Context) error {
+	layout, err := capacity.ReadLayout(m.dir)
+	if err != nil {
+		return err
+	}
+	e, err := capacity.NewExperiment(layout, m.against)
+	if err != nil {
+		return err
+	}
+	for _, phase := range m.phases {
+		logrus.WithField("phase", phase).Info("measuring")
+		if err := m.phase(ctx, e, phase); err != nil {
+			logrus.WithError(err).WithField("phase", phase).Error("phase failed: its rows are missing")
+		}
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+	}
+	return appendObservations(m.out, e.Observations())
+}
+
+func (m *measurement) phase(ctx context.Context, e *capacity.Experiment, phase string) error {
+	switch phase {
+	case "start":
+		b, err := readBegun(m.dir)
+		if err != nil {
+			return err
+		}
+		return e.Start(ctx, b.At, b.KV)
+	case "idle":
+		return e.Idle(ctx, idleLength)
+	case "changes":
+		return e.Changes(ctx)
+	case "outage":
+		return e.Outage(ctx, outageLength)
+	case "chats":
+		return e.Chats(ctx)
+	case "actions":
+		return e.Actions(ctx)
+	case "lookups":
+		return e.Lookups(ctx)
+	case "lookup-cost":
+		return e.LookupCost(ctx)
+	case "steward":
+		return e.Steward(ctx, idleLength)
+	case "open":
+		return e.OpenRequests(ctx)
+	default:
+		return errors.Errorf("no phase %q: see vt-capacity measure --help", phase)
+	}
+}
+
+func appendObservations(path string, observations []capacity.Observation) error {
+	file, err := os.OpenFile(path, os.O_CREATE|os.O_APPEND|os.O_WRONLY, filePermission)
+	if err != nil {
+		return errors.Wrap(err, "observations can't be written: check --out")
+	}
+	if err := capacity.WriteObservations(file, observations); err != nil {
+		_ = file.Close()
+		return err
+	}
+	return errors.Wrap(file.Close(), "observations can't be written")
+}
+
+func newFunctionsCommand() *cobra.Command {
+	var out string
+	var seed uint64
+	cmd := &cobra.Command{
+		Use:   "functions",
+		Short: "Measure functions that do no I/O, without a fleet",
+		Args:  cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error {
+			return appendObservations(out, capacity.Functions(seed))
+		},
+	}
+	addOutFlag(cmd, &out)
+	cmd.Flags().Uint64Var(&seed, "seed", defaultSeed, "seed of the keys")
+	return cmd
+}
--- /dev/null
+++ b/internal/capacity/functions.go
@@ -0,0 +1,190 @@
+package capacity
+
+import (
+	"math/rand/v2"
+	"runtime"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/verbenatrail/verbenatrail/internal/declare"
+	"github.com/verbenatrail/verbenatrail/internal/hostlist"
+	"github.com/verbenatrail/verbenatrail/internal/membership"
+	"github.com/verbenatrail/verbenatrail/internal/peerpb"
+	"github.com/verbenatrail/verbenatrail/internal/placement"
+)
+
+// Sizes that Functions varies.
+const (
+	againstChats    = "remembered chats"
+	againstPoolSize = "engines in a pool"
+	againstPools    = "busy pools"
+	againstMembers  = "members"
+	againstDeclared = "declared workspaces"
+	functionModels  = 12
+	functionEngines = 600
+)
+
+var (
+	chatCounts      = []int{1_000, 10_000, 30_000, 100_000}
+	poolSizes       = []int{10, 50, 150, 600}
+	poolCounts      = []int{1, 4, 12, 24, 48}
+	memberCounts    = []int{8, 32, 128, 410}
+	workspaceCounts = []int{100, 1_000, 10_000, 30_000}
+)
+
+// Functions measures functions that do no I/O, in this process.
+func Functions(seed uint64) []Observation {
+	f := &functions{random: rand.New(rand.NewPCG(seed, 0))}
+	f.chatMemory()
+	f.placement()
+	f.datagrams()
+	f.members()
+	f.declarations()
+	return f.found
+}
+
+type functions struct {
+	random *rand.Rand
+	found  []Observation
+}
+
+func (f *functions) note(against string, x int, figure, unit string, value float64) {
+	f.found = append(f.found, Observation{
+		Figure: figure, Unit: unit, Against: against, X: float64(x), Y: value, Load: machineLoad(),
+	})
+}
+
+// secondsPerCall is the mean time of a call, for as long as a benchmark takes.
+func secondsPerCall(call func()) float64 {
+	result := testing.Benchmark(func(b *testing.B) {
+		for b.Loop() {
+			call()
+		}
+	})
+	return result.T.Seconds() / float64(result.N)
+}
+
+// heapOf is the live heap that a value built by a function takes.
+func heapOf[T any](build func() T) float64 {
+	before := liveHeap()
+	value := build()
+	after := liveHeap()
+	runtime.KeepAlive(value)
+	return after - before
+}
+
+func liveHeap() float64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return float64(stats.HeapAlloc)
+}
+
+func (f *functions) chatMemory() {
+	for _, count := range chatCounts {
+		heap := heapOf(func() *placement.Memory {
+			memory := placement.NewMemory(count)
+			for range count {
+				memory.Remember(f.random.Uint64(), "engine-000")
+			}
+			return memory
+		})
+		f.note(againstChats, count, "memory of chats: live heap", "B", heap)
+	}
+}
+
+func (f *functions) placement() {
+	for _, size := range poolSizes {
+		candidates := make([]placement.Candidate, size)
+		for i := range candidates {
+			candidates[i] = placement.Candidate{Name: engineName(i), Weight: 1}
+		}
+		rank := make([]int, 0, size)
+		seconds := secondsPerCall(func() {
+			rank = placement.Rendezvous{}.Rank(placement.Request{Key: f.random.Uint64()}, candidates, rank[:0])
+		})
+		f.note(againstPoolSize, size, "rank of a chat's engines", "s", seconds)
+	}
+	for _, count := range memberCounts {
+		names := routerNames(count)
+		seconds := secondsPerCall(func() { placement.OwnersInOrder("engine-000", names, 1) })
+		f.note(againstMembers, count, "owner of an engine", "s", seconds)
+	}
+}
+
+func routerNames(count int) []string {
+	names := make([]string, count)
+	for i := range names {
+		names[i] = routerName(i)
+	}
+	return names
+}
+
+// datagrams measures the size of a ping that carries averages.
+func (f *functions) datagrams() {
+	for _, count := range poolCounts {
+		d := &peerpb.Datagram{
+			From: routerName(0), Incarnation: uint64(time.Now().Unix()) << 20, ConfigRevision: 1000,
+			Body:     &peerpb.Datagram_Ping{Ping: &peerpb.Ping{Sequence: 1000}},
+			Averages: &peerpb.Averages{Epoch: 1000},
+		}
+		for range count {
+			average := &peerpb.PoolAverage{Pool: f.random.Uint32(), InFlight: f.random.Float32()}
+			d.Averages.Pools = append(d.Averages.Pools, average)
+		}
+		f.note(againstPools, count, "ping with averages, without IP headers", "B", float64(proto.Size(d)))
+	}
+}
+
+// members measures what the control goroutine does in each round and tick.
+func (f *functions) members() {
+	for _, count := range memberCounts {
+		now := time.Now()
+		build := func() *membership.Members {
+			m := membership.New(membership.Options{
+				Self: hostlist.Host{Name: routerName(0), Kind: hostlist.KindRouter}, Settings: membership.DefaultSettings(), Seed: 1,
+			})
+			m.HearList(now, listOf(count))
+			return m
+		}
+		f.note(againstMembers, count, "membership of routers and as many engines: live heap", "B", heapOf(build))
+		m := build()
+		f.note(againstMembers, count, "membership: one round", "s", secondsPerCall(func() {
+			for _, effect := range m.ProbeRound(now) {
+				m.ProbeAnswered(effect.Host, effect.Sequence)
+			}
+		}))
+		f.note(againstMembers, count, "membership: one tick", "s", secondsPerCall(func() { m.Tick(now) }))
+		f.note(againstMembers, count, "membership: one unchanged list", "s", secondsPerCall(func() { m.HearList(now, listOf(count)) }))
+	}
+}
+
+// listOf returns a list of routers and as many engines.
+func listOf(count int) []hostlist.Host {
+	hosts := make([]hostlist.Host, 0, 2*count)
+	for i := range count {
+		router := hostlist.Host{Name: routerName(i), Kind: hostlist.KindRouter, State: hostlist.StateLive}
+		engine := hostlist.Host{Name: engineName(i), Kind: hostlist.KindEngine, State: hostlist.StateLive}
+		hosts = append(hosts, router, engine)
+	}
+	return hosts
+}
+
+func (f *functions) declarations() {
+	for _, count := range workspaceCounts {
+		size := Size{Engines: functionEngines, Workspaces: count, Models: functionModels}
+		var declared *declare.Declarations
+		heap := heapOf(func() *declare.Declarations {
+			declared = declare.Build(size.Changes())
+			return declared
+		})
+		f.note(againstDeclared, count, "declarations: live heap", "B", heap)
+		compiled := heapOf(func() any { return declare.CompileChecked(declared, 1) })
+		f.note(againstDeclared, count, "snapshot: live heap besides the declarations", "B", compiled)
+		f.note(againstDeclared, count, "compile a snapshot", "s", secondsPerCall(func() { declare.CompileChecked(declared, 1) }))
+		change := []declare.Change{workspaceChange(0, count+1)}
+		f.note(againstDeclared, count, "apply one change", "s", secondsPerCall(func() { declared.Apply(change) }))
+	}
+}
--- /dev/null
+++ b/internal/capacity/layout.go
@@ -0,0 +1,181 @@
+package capacity
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+
+	"github.com/goccy/go-yaml"
+	"github.com/pkg/errors"
+
+	"github.com/verbenatrail/verbenatrail/internal/daemon"
+	"github.com/verbenatrail/verbenatrail/internal/hostlist"
+)
+
+const (
+	// engineServers is the number of engine stand-ins that serve the listed
+	// engines.
+	engineServers = 4
+	// instanceCount is the number of service stand-ins.
+	instanceCount = 2
+	// portsPerRouter are for callers, peers and admin.
+	portsPerRouter = 3
+	layoutFile     = "layout.json"
+	filePermission = 0o644
+	dirPermission  = 0o755
+)
+
+// Ports of the stand-ins and the directory, counted from the first port.
+const (
+	portKV = iota
+	portHostList
+	portDirectoryCallers
+	portDirectoryPeers
+	portDirectoryAdmin
+	portEngines
+	portInstances = portEngines + engineServers
+	portSteward   = portInstances + instanceCount
+	portRouters   = portSteward + 1
+)
+
+// Node is the addresses of one router or directory.
+type Node struct {
+	Name    string `json:"name"`
+	Callers string `json:"callers"`
+	Peers   string `json:"peers"`
+	Admin   string `json:"admin"`
+}
+
+// Layout is a fleet on loopback: who listens where.
+type Layout struct {
+	Size      Size     `json:"size"`
+	Seed      uint64   `json:"seed"`
+	KV        string   `json:"kv"`
+	HostList  string   `json:"host_list"`
+	Engines   []string `json:"engines"`
+	Instances []string `json:"instances"`
+	Directory Node     `json:"directory"`
+	// Steward is a steward's admin address.
+	Steward string `json:"steward"`
+	Routers []Node `json:"routers"`
+}
+
+// NewLayout gives each process its ports, upwards from the first.
+func NewLayout(size Size, seed uint64, firstPort int) *Layout {
+	at := func(offset int) string { return fmt.Sprintf("127.0.0.1:%d", firstPort+offset) }
+	l := &Layout{
+		Size: size, Seed: seed, KV: at(portKV), HostList: at(portHostList), Steward: at(portSteward),
+		Directory: Node{
+			Name: "directory-1", Callers: at(portDirectoryCallers),
+			Peers: at(portDirectoryPeers), Admin: at(portDirectoryAdmin),
+		},
+	}
+	for i := range engineServers {
+		l.Engines = append(l.Engines, at(portEngines+i))
+	}
+	for i := range instanceCount {
+		l.Instances = append(l.Instances, at(portInstances+i))
+	}
+	for i := range size.Routers {
+		first := portRouters + i*portsPerRouter
+		l.Routers = append(l.Routers, Node{Name: routerName(i), Callers: at(first), Peers: at(first + 1), Admin: at(first + 2)})
+	}
+	return l
+}
+
+// Hosts returns the platform's list. The listed engines share the engine
+// stand-ins.
+func (l *Layout) Hosts() hostlist.List {
+	var list hostlist.List
+	add := func(i int, h hostlist.Host) {
+		h.Region, h.FailureDomain, h.State = region(i), domain(i), hostlist.StateLive
+		list.Hosts = append(list.Hosts, h)
+	}
+	for i, r := range l.Routers {
+		add(i, hostlist.Host{Name: r.Name, Kind: hostlist.KindRouter, Address: r.Callers, PeerAddress: r.Peers})
+	}
+	add(0, hostlist.Host{
+		Name: l.Directory.Name, Kind: hostlist.KindDirectory, Address: l.Directory.Callers, PeerAddress: l.Directory.Peers,
+	})
+	for i := range l.Size.Engines {
+		add(i, hostlist.Host{Name: engineName(i), Kind: hostlist.KindEngine, Address: l.Engines[i%engineServers]})
+	}
+	for i, address := range l.Instances {
+		add(i, hostlist.Host{Name: instanceName(i), Kind: hostlist.KindService, Address: address})
+	}
+	return list
+}
+
+// common returns the settings of one node; all but its place are the defaults.
+func (l *Layout) common(base daemon.Common, i int, n Node) daemon.Common {
+	base.Name, base.Region, base.FailureDomain = n.Name, region(i), domain(i)
+	base.Listen = daemon.Listen{Callers: n.Callers, Peers: n.Peers, Admin: n.Admin}
+	base.Platform = l.platform()
+	base.Telemetry.LogLevel = "warning"
+	return base
+}
+
+func (l *Layout) platform() daemon.Platform {
+	return daemon.Platform{KeyValue: []string{"http://" + l.KV}, HostList: "http://" + l.HostList}
+}
+
+func (l *Layout) stewardSettings() daemon.StewardSettings {
+	s := daemon.DefaultStewardSettings()
+	s.Name, s.Listen.Admin, s.Platform = "steward-1", l.Steward, l.platform()
+	s.Telemetry.LogLevel = "warning"
+	return s
+}
+
+// Write writes the files that the processes are started with, and the layout
+// itself, into a directory.
+func (l *Layout) Write(dir string) error {
+	if err := os.MkdirAll(dir, dirPermission); err != nil {
+		return errors.Wrap(err, "capacity directory can't be made: choose another")
+	}
+	if err := writeYAML(filepath.Join(dir, "hosts.yaml"), l.Hosts()); err != nil {
+		return err
+	}
+	for i, r := range l.Routers {
+		s := daemon.DefaultRouterSettings()
+		s.Common = l.common(s.Common, i, r)
+		if err := writeYAML(filepath.Join(dir, r.Name+".yaml"), s); err != nil {
+			return err
+		}
+	}
+	s := daemon.DefaultDirectorySettings()
+	s.Common = l.common(s.Common, 0, l.Directory)
+	if err := writeYAML(filepath.Join(dir, l.Directory.Name+".yaml"), s); err != nil {
+		return err
+	}
+	if err := writeYAML(filepath.Join(dir, "steward-1.yaml"), l.stewardSettings()); err != nil {
+		return err
+	}
+	data, err := json.Marshal(l)
+	if err != nil {
+		return errors.Wrap(err, "encode layout")
+	}
+	return writeFile(filepath.Join(dir, layoutFile), data)
+}
+
+// ReadLayout reads what Write wrote.
+func ReadLayout(dir string) (*Layout, error) {
+	data, err := os.ReadFile(filepath.Join(dir, layoutFile))
+	if err != nil {
+		return nil, errors.Wrap(err, "no layout: run vt-capacity prepare first")
+	}
+	l := &Layout{}
+	return l, errors.Wrap(json.Unmarshal(data, l), "layout is damaged: run vt-capacity prepare again")
+}
+
+func writeYAML(path string, value any) error {
+	data, err := yaml.Marshal(value)
+	if err != nil {
+		return errors.Wrap(err, "encode "+filepath.Base(path))
+	}
+	return writeFile(path, data)
+}
+
+func writeFile(path string, data []byte) error {
+	return errors.Wrap(os.WriteFile(path, data, filePermission), "capacity files can't be written")
+}
--- /dev/null
+++ b/internal/capacity/report.go
@@ -0,0 +1,118 @@
+package capacity
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"strings"
+	"text/template"
+
+	"github.com/pkg/errors"
+)
+
+// Report is all series of one run, with what is needed to repeat it.
+type Report struct {
+	Seed    uint64 `json:"seed"`
+	Commit  string `json:"commit"`
+	Command string `json:"command"`
+	// Cores is the number of processor cores of the machine.
+	Cores int `json:"cores"`
+	// MinLoad and MaxLoad are the load averages of the machine in the run.
+	MinLoad float64  `json:"min_load"`
+	MaxLoad float64  `json:"max_load"`
+	Series  []Series `json:"series"`
+}
+
+// NewReport fits the observations; the caller fills in how they were made.
+func NewReport(observations []Observation) *Report {
+	r := &Report{Series: Collect(observations)}
+	for i, o := range observations {
+		if i == 0 || o.Load < r.MinLoad {
+			r.MinLoad = o.Load
+		}
+		r.MaxLoad = max(r.MaxLoad, o.Load)
+	}
+	return r
+}
+
+// WriteJSON writes the report for programs.
+func (r *Report) WriteJSON(w io.Writer) error {
+	encoder := json.NewEncoder(w)
+	encoder.SetIndent("", " ")
+	return errors.Wrap(encoder.Encode(r), "write report")
+}
+
+const markdownText = `# Measured slopes
+
+Made by ` + "`{{.Command}}`" + ` at commit {{.Commit}}, seed {{.Seed}}, on {{.Cores}} cores
+under a load average of {{printf "%.1f" .MinLoad}} to {{printf "%.1f" .MaxLoad}}. Each line is value = fixed + slope * size;
+the residual is the standard deviation of the points from the line.
+{{range .Groups}}
+## Against {{.Against}}
+
+| figure | unit | fixed | slope | residual | points |
+|---|---|---|---|---|---|
+{{range .Series}}| {{.Figure}} | {{.Unit}} | {{fixed .}} | {{slope .}} | {{residual .}} | {{points .}} |
+{{end}}{{end}}`
+
+// group is the series against one size.
+type group struct {
+	Against string
+	Series  []Series
+}
+
+// Groups returns the series by what they were measured against.
+func (r *Report) Groups() []group {
+	var groups []group
+	for _, s := range r.Series {
+		if n := len(groups); n == 0 || groups[n-1].Against != s.Against {
+			groups = append(groups, group{Against: s.Against})
+		}
+		last := &groups[len(groups)-1]
+		last.Series = append(last.Series, s)
+	}
+	return groups
+}
+
+// WriteMarkdown writes the report as tables.
+func (r *Report) WriteMarkdown(w io.Writer) error {
+	functions := template.FuncMap{
+		"fixed":    func(s Series) string { return s.cell(func(f *Fit) float64 { return f.Intercept }) },
+		"slope":    func(s Series) string { return s.cell(func(f *Fit) float64 { return f.Slope }) },
+		"residual": func(s Series) string { return s.cell(func(f *Fit) float64 { return f.Residual }) },
+		"points":   Series.pointList,
+	}
+	parsed, err := template.New("report").Funcs(functions).Parse(markdownText)
+	if err != nil {
+		return errors.Wrap(err, "report template")
+	}
+	return errors.Wrap(parsed.Execute(w, r), "write report")
+}
+
+// noFit stands in a table where no line was fitted.
+const noFit = "not fitted"
+
+func (s Series) cell(part func(*Fit) float64) string {
+	if s.Fit == nil {
+		return noFit
+	}
+	return number(part(s.Fit))
+}
+
+func (s Series) pointList() string {
+	parts := make([]string, 0, len(s.Points))
+	for _, p := range s.Points {
+		parts = append(parts, number(p.X)+": "+number(p.Y))
+	}
+	return strings.Join(parts, ", ")
+}
+
+// number writes three significant digits, without an exponent where it can.
+func number(v float64) string {
+	const digits = 3
+	const large = 1000
+	if v >= large || v <= -large {
+		return fmt.Sprintf("%.0f", v)
+	}
+	return fmt.Sprintf("%.*g", digits, v)
+}
--- /dev/null
+++ b/internal/capacity/steward.go
@@ -0,0 +1,35 @@
+package capacity
+
+import (
+	"context"
+	"time"
+
+	"github.com/verbenatrail/verbenatrail/internal/telemetry"
+)
+
+// Steward measures a steward that holds the lease.
+func (e *Experiment) Steward(ctx context.Context, length time.Duration) error {
+	before, err := e.stewardPage(ctx)
+	if err != nil {
+		return err
+	}
+	begun := time.Now()
+	pause(ctx, length)
+	after, err := e.stewardPage(ctx)
+	if err != nil {
+		return err
+	}
+	seconds := time.Since(begun).Seconds()
+	rate := func(name string) float64 { return (after.counter(name) - before.counter(name)) / seconds }
+	e.note("steward: processor", "core", (after.cpuSeconds()-before.cpuSeconds())/seconds)
+	e.note("steward: resident", "B", after.gauge(telemetry.GaugeResident))
+	e.note("steward: live heap", "B", after.gauge(telemetry.GaugeHeapLive))
+	e.note("steward: reads of engines", "calls/s", rate("steward.state_reads.calls"))
+	e.note("steward: orders to engines", "calls/s", rate("steward.orders.calls"))
+	return nil
+}
+
+func (e *Experiment) stewardPage(ctx context.Context) (page, error) {
+	var p page
+	return p, e.sampler.get(ctx, e.layout.Steward, "/metrics", &p.metrics)
+}
--- /dev/null
+++ b/internal/telemetry/process.go
@@ -0,0 +1,68 @@
+package telemetry
+
+import (
+	"os"
+	"runtime"
+	rtmetrics "runtime/metrics"
+	"strconv"
+	"strings"
+	"syscall"
+
+	"github.com/rcrowley/go-metrics"
+)
+
+// Names of the gauges about the process itself.
+const (
+	// GaugeCPU is the processor time that the process has used.
+	GaugeCPU = "process.cpu.nanoseconds"
+	// GaugeResident is the memory of the process that is in RAM; zero where the
+	// system doesn't tell.
+	GaugeResident = "process.resident.bytes"
+	// GaugeHeapLive is the heap that the last garbage collection found in use.
+	GaugeHeapLive = "process.heap_live.bytes"
+	// GaugeGoroutines is the number of goroutines.
+	GaugeGoroutines = "process.running.goroutines"
+)
+
+// RegisterProcess adds the gauges about the process; they are read when the
+// registry is.
+func RegisterProcess(registry metrics.Registry) {
+	metrics.NewRegisteredFunctionalGauge(GaugeCPU, registry, cpuNanoseconds)
+	metrics.NewRegisteredFunctionalGauge(GaugeResident, registry, residentBytes)
+	metrics.NewRegisteredFunctionalGauge(GaugeHeapLive, registry, heapLiveBytes)
+	metrics.NewRegisteredFunctionalGauge(GaugeGoroutines, registry, func() int64 { return int64(runtime.NumGoroutine()) })
+}
+
+func cpuNanoseconds() int64 {
+	var usage syscall.Rusage
+	if syscall.Getrusage(syscall.RUSAGE_SELF, &usage) != nil {
+		return 0
+	}
+	return usage.Utime.Nano() + usage.Stime.Nano()
+}
+
+// residentBytes reads the second field of statm, which counts pages.
+func residentBytes() int64 {
+	data, err := os.ReadFile("/proc/self/statm")
+	if err != nil {
+		return 0
+	}
+	fields := strings.Fields(string(data))
+	if len(fields) < 2 {
+		return 0
+	}
+	pages, err := strconv.ParseInt(fields[1], 10, 64)
+	if err != nil {
+		return 0
+	}
+	return pages * int64(os.Getpagesize())
+}
+
+func heapLiveBytes() int64 {
+	sample := []rtmetrics.Sample{{Name: "/gc/heap/live:bytes"}}
+	rtmetrics.Read(sample)
+	if sample[0].Value.Kind() != rtmetrics.KindUint64 {
+		return 0
+	}
+	return int64(sample[0].Value.Uint64())
+}
--- /dev/null
+++ b/scripts/capacity.sh
@@ -0,0 +1,101 @@
+#!/bin/sh
+# Measures the slopes that docs/CAPACITY.md quotes: starts fleets of several
+# sizes on loopback, one after another, measures each, and stops it by its
+# process ids. Output goes to out/capacity.
+set -u
+cd "$(dirname "$0")/.."
+
+OUT=${OUT:-out/capacity}
+SEED=${SEED:-1}
+FIRST_PORT=${FIRST_PORT:-24000}
+CASES=${CASES:-"routers engines workspaces load functions"}
+OBSERVATIONS=$OUT/observations.jsonl
+ENGINE_SERVERS=4
+INSTANCES=2
+
+port() { echo "127.0.0.1:$((FIRST_PORT + $1))"; }
+
+# start NAME COMMAND... runs a process and notes its id.
+start() {
+	name=$1
+	shift
+	"$@" >"$DIR/$name.log" 2>&1 &
+	echo "$!" >"$DIR/$name.pid"
+}
+
+stop_all() {
+	[ -n "${DIR:-}" ] || return 0
+	for file in "$DIR"/*.pid; do
+		[ -e "$file" ] || continue
+		kill -KILL "$(cat "$file")" 2>/dev/null
+		rm -f "$file"
+	done
+	wait
+}
+trap 'stop_all; exit 1' INT TERM
+trap stop_all EXIT
+
+# Ports follow internal/capacity/layout.go.
+start_platform() {
+	start kv bin/vt-standin kv --listen "$(port 0)"
+	start hostlist bin/vt-standin hostlist --listen "$(port 1)" --hosts "$DIR/hosts.yaml"
+	i=0
+	while [ $i -lt $ENGINE_SERVERS ]; do
+		start "engine-server-$i" bin/vt-standin engine --listen "$(port $((5 + i)))" --token-ms 5 --slots 4096
+		i=$((i + 1))
+	done
+	i=0
+	while [ $i -lt $INSTANCES ]; do
+		start "booking-$i" bin/vt-standin service --listen "$(port $((5 + ENGINE_SERVERS + i)))" --name "booking-$i"
+		i=$((i + 1))
+	done
+	sleep 1
+}
+
+# run_case NAME ROUTERS ENGINES WORKSPACES AGAINST PHASES
+run_case() {
+	DIR=$OUT/$1
+	rm -rf "$DIR"
+	echo "case $1: $2 routers, $3 listed engines, $4 workspaces"
+	bin/vt-capacity prepare --dir "$DIR" --routers "$2" --engines "$3" --workspaces "$4" --seed "$SEED" --first-port "$FIRST_PORT" || return 1
+	start_platform
+	if bin/vt-capacity commit --dir "$DIR"; then
+		start directory-1 bin/vt-directory --config "$DIR/directory-1.yaml"
+		case $6 in *steward*) start steward-1 bin/vt-steward --config "$DIR/steward-1.yaml" ;; esac
+		for settings in "$DIR"/router-*.yaml; do
+			start "$(basename "$settings" .yaml)" bin/vt-router --config "$settings"
+		done
+		bin/vt-capacity measure --dir "$DIR" --out "$OBSERVATIONS" --against "$5" --phases "$6"
+	fi
+	stop_all
+}
+
+mkdir -p "$OUT"
+rm -f "$OBSERVATIONS"
+for case in $CASES; do
+	case $case in
+	routers)
+		for n in 4 8 16 32 64; do
+			run_case "routers-$n" "$n" 60 100 routers start,idle,changes,lookup-cost,outage
+		done
+		;;
+	engines)
+		for n in 12 60 240 600; do
+			run_case "engines-$n" 8 "$n" 100 "listed engines" start,idle,changes,lookup-cost,steward
+		done
+		;;
+	workspaces)
+		for n in 100 3000 10000 30000; do
+			run_case "workspaces-$n" 4 60 "$n" workspaces start,idle,changes
+		done
+		;;
+	load)
+		run_case load 8 48 100 routers start,chats,actions,lookups,open
+		;;
+	functions)
+		bin/vt-capacity functions --seed "$SEED" --out "$OBSERVATIONS"
+		;;
+	esac
+done
+bin/vt-capacity report --observations "$OBSERVATIONS" --markdown "$OUT/report.md" --json "$OUT/report.json" \
+	--seed "$SEED" --commit "$(git rev-parse --short HEAD)" --command "make capacity SEED=$SEED"
