--- a/internal/daemon/fleet_test.go
+++ b/internal/daemon/fleet_test.go
@@ -41,7 +41,7 @@
 // testFleet is a fleet in this process: routers, a directory, the platform's
 // stand-ins, engines and service instances.
 type testFleet struct {
-	t         *testing.T
+	t         testing.TB
 	kv        *kvserver.Server
 	hosts     *hostserver.Server
 	engines   map[string]*engine.Server
@@ -61,13 +61,13 @@
 
 type fleetSize struct{ routers, engines, instances int }
 
-func startFleet(t *testing.T, size fleetSize) *testFleet {
+func startFleet(t testing.TB, size fleetSize) *testFleet {
 	t.Helper()
 	return startFleetWith(t, size, func(*RouterSettings) {})
 }
 
 // startFleetWith changes the settings of each router before it starts.
-func startFleetWith(t *testing.T, size fleetSize, change func(*RouterSettings)) *testFleet {
+func startFleetWith(t testing.TB, size fleetSize, change func(*RouterSettings)) *testFleet {
 	t.Helper()
 	f := &testFleet{
 		t: t, engines: map[string]*engine.Server{}, instances: map[string]*service.Server{},
@@ -158,7 +158,7 @@
 
 // freePort returns a port that is free for TCP and UDP. Tests of other
 // processes start at another place of the range.
-func freePort(t *testing.T) string {
+func freePort(t testing.TB) string {
 	t.Helper()
 	start := int32(os.Getpid() * 97 % (lastPort - firstPort))
 	for range lastPort - firstPort {
@@ -389,7 +389,7 @@
 }
 
 // wantWhole fails the test unless got is the whole answer to the request.
-func wantWhole(t *testing.T, c chatRequest, got received) {
+func wantWhole(t testing.TB, c chatRequest, got received) {
 	t.Helper()
 	want := engine.ExpectedAnswer(c.messages(), c.maxTokens)
 	if !got.whole || got.text != want {
@@ -407,7 +407,7 @@
 	return readEvents(response, 0)
 }
 
-func readRefusal(t *testing.T, response *http.Response) refusal.BodyError {
+func readRefusal(t testing.TB, response *http.Response) refusal.BodyError {
 	t.Helper()
 	var body refusal.Body
 	if err := json.NewDecoder(response.Body).Decode(&body); err != nil {
@@ -416,7 +416,7 @@
 	return body.Error
 }
 
-func newActionKey(t *testing.T) string {
+func newActionKey(t testing.TB) string {
 	t.Helper()
 	key, err := uuid.NewV7()
 	if err != nil {
--- a/internal/daemon/path_test.go
+++ b/internal/daemon/path_test.go
@@ -123,7 +123,7 @@
 	return f.do(request)
 }
 
-func wantStatus(t *testing.T, response *http.Response, want int) {
+func wantStatus(t testing.TB, response *http.Response, want int) {
 	t.Helper()
 	if response.StatusCode != want {
 		t.Errorf("status = %d, want %d", response.StatusCode, want)
