Admission: the loads that owners name raise the bound at once

At a cold start the bound followed the averages by a step a round: a full second to reach the capacity at rounds of 100 ms, several at 500 ms. An owner without room now names its load; the relay, once all owners of the pool have refused, passes their mean on with the last question.

--- a/internal/admission/bound.go
+++ b/internal/admission/bound.go
@@ -40,6 +40,17 @@
 	b.raisedUntil = now.Add(raiseDuration)
 }
 
+// observe takes a mean that was collected from all owners just now, which is
+// newer than the averages.
+func (b *bound) observe(now time.Time, mean float64) {
+	observed := limitFor(mean, b.multiple)
+	if observed <= b.limit(now) {
+		return
+	}
+	b.raisedLimit = observed
+	b.raisedUntil = now.Add(raiseDuration)
+}
+
 // limit returns the most requests in flight, at least 1.
 func (b *bound) limit(now time.Time) int {
 	limit := limitFor(b.mean, b.multiple)
--- a/internal/admission/scheduler.go
+++ b/internal/admission/scheduler.go
@@ -39,15 +39,24 @@
 // later command, or with Cancel.
 func (s *Scheduler) Offer(now time.Time, r Request) Decision {
 	r = s.withDefaults(now, r)
-	if r.PoolFull && !s.hasRoom(now) {
-		s.bound.raise(now)
-	}
+	s.raiseBound(now, r)
 	effects := s.dispatch(now)
 	d := s.decide(now, r)
 	d.Effects = append(effects, d.Effects...)
 	return d
 }
 
+// raiseBound takes what a request knows about the pool's load.
+func (s *Scheduler) raiseBound(now time.Time, r Request) {
+	switch {
+	case s.hasRoom(now):
+	case r.PoolMean > 0:
+		s.bound.observe(now, r.PoolMean)
+	case r.PoolFull:
+		s.bound.raise(now)
+	}
+}
+
 func (s *Scheduler) decide(now time.Time, r Request) Decision {
 	if reason := s.refusalFor(now, r); reason != ReasonNone {
 		return s.refuse(now, reason)
--- a/internal/admission/types.go
+++ b/internal/admission/types.go
@@ -64,6 +64,9 @@
 	// request for their bound just now. It proves that the mean is at least
 	// this engine's bound, before any average arrives.
 	PoolFull bool
+	// PoolMean is the expected load of this engine by the loads that all owners
+	// of the pool named just now, in requests in flight; zero when unknown.
+	PoolMean float64
 }
 
 // Verdict is the kind of a Decision.
--- a/internal/owner/gate.go
+++ b/internal/owner/gate.go
@@ -149,7 +149,9 @@
 	switch decision.Verdict {
 	case admission.Refused:
 		o.Metrics.Refused.Inc(1)
-		return nil, admissionRefusal(t.declared.Name, decision.Reason, decision.RetryAfter)
+		refused := admissionRefusal(t.declared.Name, decision.Reason, decision.RetryAfter)
+		refused.UpstreamLoad = float64(g.inFlight()) / float64(max(t.declared.Weight, 1))
+		return nil, refused
 	case admission.Queued:
 		o.Metrics.Queued.Inc(1)
 		if refused := o.wait(ctx, g, id, waiter, t, sink); refused != nil {
@@ -185,7 +187,7 @@
 		Class:    fleet.Priority(request.GetPriority()),
 		Deadline: now.Add(time.Duration(wait) * time.Millisecond),
 		MayWait:  request.GetMayWait(), PoolFull: request.GetPoolFull(),
-		Flexible: request.GetFlexible(),
+		Flexible: request.GetFlexible(), PoolMean: float64(request.GetPoolMean()) * float64(max(t.declared.Weight, 1)),
 	}
 }
 
--- a/internal/refusal/refusal.go
+++ b/internal/refusal/refusal.go
@@ -73,6 +73,9 @@
 	// UpstreamCrashed is set when the upstream broke its connection while it
 	// ran the request.
 	UpstreamCrashed bool
+	// UpstreamLoad is the number of requests in flight per weight at an
+	// upstream that had no room.
+	UpstreamLoad float64
 }
 
 // New returns a refusal of a request that was not run.
@@ -172,7 +175,7 @@
 	return &peerpb.Refusal{
 		Kind: string(r.Kind), Outcome: outcomeToProto(r.Outcome), Message: r.Message,
 		RetryAfterMs: uint32(r.RetryAfter.Milliseconds()), Upstream: r.Upstream,
-		UpstreamCrashed: r.UpstreamCrashed,
+		UpstreamCrashed: r.UpstreamCrashed, UpstreamLoad: float32(r.UpstreamLoad),
 	}
 }
 
@@ -182,7 +185,7 @@
 	return &Refusal{
 		Kind: Kind(p.GetKind()), Outcome: outcomeFromProto(p.GetOutcome()), Message: p.GetMessage(),
 		RetryAfter: time.Duration(p.GetRetryAfterMs()) * time.Millisecond, Upstream: p.GetUpstream(),
-		UpstreamCrashed: p.GetUpstreamCrashed(),
+		UpstreamCrashed: p.GetUpstreamCrashed(), UpstreamLoad: float64(p.GetUpstreamLoad()),
 	}
 }
 
--- a/internal/relay/failure.go
+++ b/internal/relay/failure.go
@@ -55,6 +55,10 @@
 	if a.ask.LastResort {
 		return s.final(refused)
 	}
+	if s.loads == nil {
+		s.loads = make(map[string]float64)
+	}
+	s.loads[a.ask.Upstream] = refused.UpstreamLoad
 	s.asks = s.asks[1:]
 	s.relay.Metrics.Spilled.Inc(1)
 	return nil
--- a/internal/relay/session.go
+++ b/internal/relay/session.go
@@ -34,6 +34,8 @@
 	asks []placement.Ask
 	// full are the upstreams that had no room.
 	full []string
+	// loads are what owners named when they had no room, by upstream.
+	loads map[string]float64
 	// unreachable are the routers that can't be reached.
 	unreachable []string
 	// attempts counts the sends that ended in a failure.
@@ -142,7 +144,7 @@
 		TimeoutMs:   uint32(max(0, time.Until(s.call.Deadline).Milliseconds())),
 		Traceparent: s.call.Traceparent,
 		MayWait:     a.ask.LastResort || a.ask.Wait > 0, WaitMs: uint32(a.ask.Wait.Milliseconds()),
-		PoolFull: a.ask.PoolFull, Flexible: a.ask.Flexible,
+		PoolFull: a.ask.PoolFull, PoolMean: float32(s.poolMean(a)), Flexible: a.ask.Flexible,
 		Priority: uint32(s.call.Priority), Fingerprint: s.call.Fingerprint,
 	}
 	switch {
@@ -156,6 +158,19 @@
 	return request
 }
 
+// poolMean returns the mean of the loads that owners named, once all upstreams
+// in rank have been asked and none has failed.
+func (s *session) poolMean(a attempt) float64 {
+	if !a.ask.LastResort || len(s.loads) < len(s.plan.Ranked) {
+		return 0
+	}
+	sum := 0.0
+	for _, load := range s.loads {
+		sum += load
+	}
+	return sum / float64(len(s.loads))
+}
+
 func (s *session) resumeCall() *peerpb.ResumeCall {
 	stream := s.progress.stream
 	return &peerpb.ResumeCall{
