--- a/internal/standin/engine/batch.go
+++ b/internal/standin/engine/batch.go
@@ -129,7 +129,7 @@
 func (s *Server) step() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.closed || s.isCrashed() {
+	if s.isStopped() {
 		return
 	}
 	now := s.clock.Now()
--- a/internal/standin/engine/chat.go
+++ b/internal/standin/engine/chat.go
@@ -62,7 +62,7 @@
 		return
 	}
 	rd, err := s.accept(r, req)
-	if s.isCrashed() {
+	if s.isStopped() {
 		standin.CutConnection()
 	}
 	switch {
--- a/internal/standin/engine/reader.go
+++ b/internal/standin/engine/reader.go
@@ -77,13 +77,11 @@
 func (s *Server) writeStream(w http.ResponseWriter, r *http.Request, rd *reader) {
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.WriteHeader(http.StatusOK)
-	controller := http.NewResponseController(w)
-	_ = controller.Flush()
+	flush(w)
 	for {
 		events, changed := s.collect(rd)
 		for _, event := range events {
 			s.writeEvent(w, r, rd, event)
-			_ = controller.Flush()
 		}
 		if changed == nil {
 			_, _ = fmt.Fprintf(w, "data: %s\n\n", engineapi.DoneMarker)
@@ -156,10 +154,16 @@
 	if s.takeDuplicate() {
 		event.write(w)
 	}
+	flush(w)
 	rd.sent++
 	s.strike(r, rd)
 }
 
+// flush sends what has been written so far.
+func flush(w http.ResponseWriter) {
+	_ = http.NewResponseController(w).Flush()
+}
+
 func (s *Server) confirmSwap() bool {
 	if !s.takeSwap() {
 		return false
@@ -195,7 +199,7 @@
 	s.count(func(state *State) { state.WentSilent++ })
 	select {
 	case <-r.Context().Done():
-	case <-s.crashSignal:
+	case <-s.stopped:
 	}
 	standin.CutConnection()
 }
@@ -210,7 +214,7 @@
 	case <-rd.cut:
 		s.count(func(state *State) { state.Cut++ })
 		standin.CutConnection()
-	case <-s.crashSignal:
+	case <-s.stopped:
 		standin.CutConnection()
 	case <-r.Context().Done():
 		standin.CutConnection()
--- a/internal/standin/engine/server.go
+++ b/internal/standin/engine/server.go
@@ -131,19 +131,19 @@
 	// Faults can be changed at any time.
 	Faults standin.Switch[Faults]
 
-	cfg         Config
-	clock       standin.Clock
-	mux         *http.ServeMux
-	client      *http.Client
-	chunkSwap   exchanger[chunkEvent]
-	answerSwap  exchanger[Completion]
-	crashSignal chan struct{}
+	cfg        Config
+	clock      standin.Clock
+	mux        *http.ServeMux
+	client     *http.Client
+	chunkSwap  exchanger[chunkEvent]
+	answerSwap exchanger[Completion]
+	// stopped is closed by a crash and by Close.
+	stopped chan struct{}
 
 	mu        sync.Mutex
 	state     State
 	batch     batch
 	stepTimer standin.Timer
-	closed    bool
 	cache     *prefixCache
 	events    eventLog
 	load      *standin.Lagged[engineapi.Load]
@@ -168,19 +168,19 @@
 // New returns an idle engine.
 func New(cfg Config) *Server {
 	s := &Server{
-		cfg:         cfg,
-		clock:       standin.ClockOrSystem(cfg.Clock),
-		mux:         http.NewServeMux(),
-		client:      &http.Client{},
-		crashSignal: make(chan struct{}),
-		events:      eventLog{delay: cfg.CacheEventDelay, gapEvery: cfg.CacheEventGap},
-		load:        standin.NewLagged(cfg.LoadLag, engineapi.Load{}),
-		streams:     make(map[string]*stream),
-		silenced:    make(chan struct{}),
-		cut:         make(chan struct{}),
-		models:      make(map[string]struct{}),
-		servesAll:   len(cfg.Models) == 0,
-		role:        cfg.Role,
+		cfg:       cfg,
+		clock:     standin.ClockOrSystem(cfg.Clock),
+		mux:       http.NewServeMux(),
+		client:    &http.Client{},
+		stopped:   make(chan struct{}),
+		events:    eventLog{delay: cfg.CacheEventDelay, gapEvery: cfg.CacheEventGap},
+		load:      standin.NewLagged(cfg.LoadLag, engineapi.Load{}),
+		streams:   make(map[string]*stream),
+		silenced:  make(chan struct{}),
+		cut:       make(chan struct{}),
+		models:    make(map[string]struct{}),
+		servesAll: len(cfg.Models) == 0,
+		role:      cfg.Role,
 	}
 	s.cache = newPrefixCache(cfg.CacheTokens, s.publish)
 	for _, model := range cfg.Models {
@@ -193,21 +193,20 @@
 
 // ServeHTTP serves the engine's interface and the paths for tests.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if s.isCrashed() {
+	if s.isStopped() {
 		standin.CutConnection()
 	}
 	s.mux.ServeHTTP(w, r)
 }
 
-// Close stops the batch and cuts the open streams.
+// Close stops the batch and cuts all connections from now on.
 func (s *Server) Close() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.closed = true
 	if s.stepTimer != nil {
 		s.stepTimer.Stop()
 	}
-	s.cutOpenLocked()
+	s.stopLocked()
 	s.client.CloseIdleConnections()
 }
 
@@ -270,7 +269,7 @@
 	case <-thawed:
 	case <-r.Context().Done():
 		standin.CutConnection()
-	case <-s.crashSignal:
+	case <-s.stopped:
 		standin.CutConnection()
 	}
 }
@@ -329,14 +328,18 @@
 	if s.cfg.Crash != nil {
 		s.cfg.Crash()
 	}
-	if !s.isCrashed() {
-		close(s.crashSignal)
+	s.stopLocked()
+}
+
+func (s *Server) stopLocked() {
+	if !s.isStopped() {
+		close(s.stopped)
 	}
 }
 
-func (s *Server) isCrashed() bool {
+func (s *Server) isStopped() bool {
 	select {
-	case <-s.crashSignal:
+	case <-s.stopped:
 		return true
 	default:
 		return false
--- a/internal/standin/kvserver/server.go
+++ b/internal/standin/kvserver/server.go
@@ -114,10 +114,11 @@
 	s.mux.ServeHTTP(w, r)
 }
 
-// Close stops the timer of the leases.
+// Close stops the timer of the leases and ends the watches.
 func (s *Server) Close() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.endWatchesLocked()
 	if s.expiryTimer != nil {
 		s.expiryTimer.Stop()
 	}
--- a/internal/standin/service/server.go
+++ b/internal/standin/service/server.go
@@ -91,7 +91,8 @@
 	state   State
 	load    *standin.Lagged[int]
 	leaving time.Time
-	crashed chan struct{}
+	// stopped is closed by a crash and by Close.
+	stopped chan struct{}
 }
 
 // New returns a service.
@@ -102,7 +103,7 @@
 		mux:     http.NewServeMux(),
 		log:     newExecutionLog(),
 		load:    standin.NewLagged(cfg.LoadLag, 0),
-		crashed: make(chan struct{}),
+		stopped: make(chan struct{}),
 	}
 	s.routes()
 	return s
@@ -110,7 +111,7 @@
 
 // ServeHTTP serves any path.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if s.isCrashed() {
+	if s.isStopped() {
 		standin.CutConnection()
 	}
 	s.mux.ServeHTTP(w, r)
@@ -203,7 +204,7 @@
 	defer timer.Stop()
 	select {
 	case <-elapsed:
-	case <-s.crashed:
+	case <-s.stopped:
 		standin.CutConnection()
 	}
 }
@@ -213,7 +214,7 @@
 	s.count(func(state *State) { state.Hung++ })
 	select {
 	case <-r.Context().Done():
-	case <-s.crashed:
+	case <-s.stopped:
 	}
 	standin.CutConnection()
 }
@@ -226,17 +227,22 @@
 	if s.cfg.Crash != nil {
 		s.cfg.Crash()
 	}
+	s.Close()
+	standin.CutConnection()
+}
+
+// Close cuts all connections from now on.
+func (s *Server) Close() {
 	s.mu.Lock()
-	if !s.isCrashed() {
-		close(s.crashed)
+	defer s.mu.Unlock()
+	if !s.isStopped() {
+		close(s.stopped)
 	}
-	s.mu.Unlock()
-	standin.CutConnection()
 }
 
-func (s *Server) isCrashed() bool {
+func (s *Server) isStopped() bool {
 	select {
-	case <-s.crashed:
+	case <-s.stopped:
 		return true
 	default:
 		return false
