Stand-ins: process tests, page of faults, engine server split by job

The engine's server file held settings, counters, faults and routes; each is a file now, with no change of behaviour.

--- a/internal/standin/engine/faults.go
+++ b/internal/standin/engine/faults.go
@@ -1,8 +1,7 @@
 package engine
 
 import (
-	"context"
-	"sync"
+	"net/http"
 	"time"
 
 	"github.com/verbenatrail/verbenatrail/internal/engineapi"
@@ -107,65 +106,74 @@
 	return time.Duration(n) * time.Millisecond
 }
 
-// swapTimeout is how long a chunk waits for one of another stream.
-const swapTimeout = time.Second
+func (s *Server) faultsChanged(f Faults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case f.Frozen && s.thawed == nil:
+		s.thawed = make(chan struct{})
+	case !f.Frozen && s.thawed != nil:
+		close(s.thawed)
+		s.thawed = nil
+	}
+	if f.Outage != standin.OutageNone {
+		s.cutOpenLocked()
+	}
+}
 
-// exchanger swaps values between two streams.
-type exchanger[T any] struct {
-	mu    sync.Mutex
-	offer *offer[T]
+// Act performs an action.
+func (s *Server) Act(a Action) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if a.SilenceOpen {
+		close(s.silenced)
+		s.silenced = make(chan struct{})
+	}
+	if a.CutOpen {
+		s.cutOpenLocked()
+	}
+	if a.DropCache {
+		s.cache.clear()
+	}
+	if a.Crash {
+		s.crashLocked()
+	}
 }
 
-type offer[T any] struct {
-	streamID string
-	value    T
-	taken    chan T
+func (s *Server) cutOpenLocked() {
+	close(s.cut)
+	s.cut = make(chan struct{})
 }
 
-// swap returns the value that another stream offered, or waits for one. After
-// the timeout it returns the stream's own value. confirm is asked once for
-// each swap and can refuse it.
-func (e *exchanger[T]) swap(ctx context.Context, c standin.Clock, streamID string, own T, confirm func() bool) T {
-	other, mine := e.match(streamID, own, confirm)
-	if mine == nil {
-		return other
+func (s *Server) serveActions(w http.ResponseWriter, r *http.Request) {
+	var action Action
+	if standin.ReadStrictJSON(w, r, &action) != nil {
+		return
 	}
-	timeout := make(chan struct{})
-	timer := c.AfterFunc(swapTimeout, func() { close(timeout) })
-	defer timer.Stop()
-	select {
-	case received := <-mine.taken:
-		return received
-	case <-timeout:
-	case <-ctx.Done():
+	s.Act(action)
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// crashLocked ends the process, or cuts all connections from now on.
+func (s *Server) crashLocked() {
+	s.state.Crashes++
+	if s.cfg.Crash != nil {
+		s.cfg.Crash()
 	}
-	return e.withdraw(mine)
+	s.stopLocked()
 }
 
-// match takes a waiting offer of another stream, or makes one.
-func (e *exchanger[T]) match(streamID string, own T, confirm func() bool) (T, *offer[T]) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	waiting := e.offer
-	switch {
-	case waiting == nil:
-		e.offer = &offer[T]{streamID: streamID, value: own, taken: make(chan T, 1)}
-		return own, e.offer
-	case waiting.streamID == streamID || !confirm():
-		return own, nil
+func (s *Server) stopLocked() {
+	if !s.isStopped() {
+		close(s.stopped)
 	}
-	e.offer = nil
-	waiting.taken <- own
-	return waiting.value, nil
 }
 
-// withdraw ends an offer and returns what was received or the own value.
-func (e *exchanger[T]) withdraw(mine *offer[T]) T {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if e.offer == mine {
-		e.offer = nil
-		return mine.value
+func (s *Server) isStopped() bool {
+	select {
+	case <-s.stopped:
+		return true
+	default:
+		return false
 	}
-	return <-mine.taken
 }
