Stand-ins: link, a relay that delays, loses track of connections or drops

Silence between callers and daemons, and between daemons, has no stand-in that could be switched: an engine's faults reach its own connections only.

--- a/cmd/vt-standin/main.go
+++ b/cmd/vt-standin/main.go
@@ -28,6 +28,7 @@
 		newEngineCommand(),
 		newServiceCommand(),
 		newWeightsCommand(),
+		newLinkCommand(),
 	)
 	return root
 }
