Membership: hold-down grows only for hosts that fail soon again

An engine that refused connections for one second in eight was held down for up to a minute, which moved more chats than the flapping did. A hold-down now doubles only if the host was up for less than four times the last one.

--- a/internal/membership/holddown.go
+++ b/internal/membership/holddown.go
@@ -3,18 +3,16 @@
 import "time"
 
 // holdDown keeps a host that fails again and again out of use for longer and
-// longer.
+// longer, up to a part of the time that it stays up in between.
 type holdDown struct {
-	failures    int
-	lastFailure time.Time
-	until       time.Time
+	failures int
+	until    time.Time
 }
 
 // fail counts a failure and holds the host down from now.
 func (h *holdDown) fail(now time.Time, s Settings) {
-	h.forgetIfStable(now, s)
+	h.forgive(now, s)
 	h.failures++
-	h.lastFailure = now
 	h.until = now.Add(h.span(s))
 }
 
@@ -22,9 +20,19 @@
 // when a host returns that had failed before.
 func (h *holdDown) restartHold(now time.Time, s Settings) { h.until = now.Add(h.span(s)) }
 
-func (h *holdDown) forgetIfStable(now time.Time, s Settings) {
-	if now.Sub(h.lastFailure) > s.StableAfter.Std() {
+// stableSpans is how many times its last hold-down a host must have been up
+// for it not to double. A host is thus never held down for much more than a
+// fifth of the time because of its flapping alone.
+const stableSpans = 4
+
+// forgive takes back failures that a time without one has made up for.
+func (h *holdDown) forgive(now time.Time, s Settings) {
+	up := now.Sub(h.until)
+	switch {
+	case up > s.StableAfter.Std():
 		h.failures = 0
+	case up > stableSpans*h.span(s):
+		h.failures = max(h.failures-1, 0)
 	}
 }
 
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -49,8 +49,8 @@
 	// SuspectTimeout is how long a suspect can refute before it counts as
 	// failed.
 	SuspectTimeout settings.Duration `yaml:"suspect_timeout" validate:"gt=0"`
-	// HoldDown is how long a host stays out of use after its first failure; it
-	// doubles with each further one up to MaxHoldDown.
+	// HoldDown is how long a host stays out of use after a failure; it doubles
+	// with each failure that comes soon after the last, up to MaxHoldDown.
 	HoldDown settings.Duration `yaml:"hold_down" validate:"gt=0"`
 	// MaxHoldDown bounds the hold-down.
 	MaxHoldDown settings.Duration `yaml:"max_hold_down" validate:"gtefield=HoldDown"`
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -195,6 +195,19 @@
 	}
 }
 
+func TestHoldDownStaysShortWhenTheHostStaysUpInBetween(t *testing.T) {
+	m := New(Options{Self: routerHost(0), Settings: DefaultSettings()})
+	m.HearList(at(0), []hostlist.Host{engineHost(hostlist.StateLive)})
+	for i := range 20 {
+		now := at(time.Duration(i) * 8 * time.Second)
+		m.Tick(now)
+		m.ReportUpstream(now, "engine", ConnRefused)
+		if got := m.upstreams["engine"].hold.until.Sub(now); got != time.Second {
+			t.Fatalf("failure %d: held down for %v", i, got)
+		}
+	}
+}
+
 func TestUpstreamThatLeavesTheListAndReturnsIsHeldDown(t *testing.T) {
 	m := New(Options{Self: routerHost(0), Settings: DefaultSettings()})
 	other := hostlist.Host{Name: "other", Kind: hostlist.KindEngine, State: hostlist.StateLive}
--- a/internal/placement/measure_test.go
+++ b/internal/placement/measure_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/verbenatrail/verbenatrail/internal/membership"
 	"github.com/verbenatrail/verbenatrail/internal/placement"
 )
 
@@ -76,6 +77,44 @@
 	}
 }
 
+// TestMeasureDisturbances prints reuse and moved turns while routers hold
+// differing lists and while an engine flaps.
+func TestMeasureDisturbances(t *testing.T) {
+	if os.Getenv("VERBENATRAIL_MEASURE") == "" {
+		t.Skip("set VERBENATRAIL_MEASURE=1 to measure")
+	}
+	noHoldDown := membership.DefaultSettings()
+	noHoldDown.HoldDown, noHoldDown.MaxHoldDown = 1, 1
+	base := policy{
+		planned: true, remembers: true, patience: 3, headroom: measuredHeadroom,
+		holdDown: membership.DefaultSettings(), rank: byStrategy(placement.Rendezvous{}),
+	}
+	stale, flapping, forgetful := base, base, base
+	stale.staleLists = true
+	flapping.flapping = true
+	forgetful.flapping, forgetful.remembers = true, false
+	const mean = 20
+	arrivals := recordArrivals(mean, measureSeed)
+	fmt.Printf("\nmean in flight %d, seed %d\n", mean, measureSeed)
+	for _, line := range []struct {
+		name     string
+		policy   policy
+		holdDown membership.Settings
+	}{
+		{"undisturbed", base, base.holdDown},
+		{"lists differ for 5 s", stale, base.holdDown},
+		{"flapping, hold-down", flapping, base.holdDown},
+		{"flapping, no hold-down", flapping, noHoldDown},
+		{"flapping, hold-down, no memory", forgetful, base.holdDown},
+		{"flapping, no hold-down, no memory", forgetful, noHoldDown},
+	} {
+		line.policy.holdDown = line.holdDown
+		r := newReplay(line.policy, mean, time.Second).run(arrivals)
+		fmt.Printf("%-34s reuse %.3f  moved %.2f%%  over %.2f%%  refused %.2f%%\n", line.name, r.reuse(),
+			percent(r.moved, r.turns), percent(r.over, r.samples), percent(r.refused, r.turns))
+	}
+}
+
 func printHeader() {
 	fmt.Println("policy               reuse  samples-over  of-surge  worst-ratio  worst-excess  placed-over  refused  wait-p50  wait-p99")
 }
--- a/internal/placement/replay_test.go
+++ b/internal/placement/replay_test.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/verbenatrail/verbenatrail/internal/admission"
+	"github.com/verbenatrail/verbenatrail/internal/hostlist"
+	"github.com/verbenatrail/verbenatrail/internal/membership"
 	"github.com/verbenatrail/verbenatrail/internal/placement"
 )
 
@@ -145,7 +147,14 @@
 	remembers bool
 	patience  float64 // factor of placement.Patience
 	headroom  float64
-	rank      func(r *replay, a arrival, nonce uint64) []*replayEngine
+	// staleLists lets every other turn be ranked by the former list of engines
+	// for a while after a replacement.
+	staleLists bool
+	// flapping makes one engine refuse connections now and then; hold-down as
+	// the settings say.
+	flapping bool
+	holdDown membership.Settings
+	rank     func(r *replay, a arrival, nonce uint64) []*replayEngine
 }
 
 // completion ends a request.
@@ -189,7 +198,9 @@
 	done    completions
 	waiting map[uint64]queuedTurn
 	memory  *placement.Memory
-	means   []float64 // history, one a second
+	members *membership.Members
+	former  *replayEngine // replaced last
+	means   []float64     // history, one a second
 	result  result
 }
 
@@ -203,6 +214,7 @@
 	refused, turns int
 	waits          []time.Duration
 	overAtPlacing  int
+	moved          int // turns that ran elsewhere than the chat's turn before
 }
 
 func (r result) reuse() float64 { return float64(r.cached) / float64(r.prefix) }
@@ -219,6 +231,9 @@
 func (r *replay) run(arrivals []arrival) result {
 	r.waiting = map[uint64]queuedTurn{}
 	r.memory = placement.NewMemory(rememberedChats)
+	r.members = membership.New(membership.Options{
+		Self: hostlist.Host{Name: "router", Kind: hostlist.KindRouter}, Settings: r.policy.holdDown,
+	})
 	for range engineCount {
 		r.addEngine()
 	}
@@ -241,16 +256,21 @@
 	e := &replayEngine{name: fmt.Sprintf("engine-%03d", r.created), cache: newPrefixCache(r.cacheSize)}
 	e.scheduler = admission.New(r.settings, r.capacity)
 	r.engines = append(r.engines, e)
+	var list []hostlist.Host
+	for _, e := range r.engines {
+		list = append(list, hostlist.Host{Name: e.name, Kind: hostlist.KindEngine, State: hostlist.StateLive})
+	}
+	r.members.HearList(r.clock(), list)
 }
 
 func (r *replay) every(interval time.Duration) bool { return r.now > 0 && r.now%interval == 0 }
 
 func (r *replay) timers() {
 	if r.every(replaceInterval) {
-		leaving := r.engines[0]
+		r.former = r.engines[0]
 		r.engines = r.engines[1:]
 		r.addEngine()
-		r.apply(leaving, leaving.scheduler.Drain(r.clock()))
+		r.apply(r.former, r.former.scheduler.Drain(r.clock()))
 	}
 	if r.every(meanInterval) {
 		r.means = append(r.means, r.mean())
@@ -260,6 +280,7 @@
 		}
 	}
 	if r.every(sampleInterval) {
+		r.members.Tick(r.clock())
 		for _, e := range r.engines {
 			r.apply(e, e.scheduler.Tick(r.clock()))
 		}
@@ -367,10 +388,17 @@
 			return e
 		}
 	}
+	if r.former != nil && r.former.name == name {
+		return r.former
+	}
 	return nil
 }
 
 func (r *replay) offer(e *replayEngine, ask placement.Ask, turn queuedTurn) bool {
+	if r.flaps(e) {
+		r.members.ReportUpstream(r.clock(), e.name, membership.ConnRefused)
+		return false
+	}
 	r.nonce++
 	request := admission.Request{
 		ID: r.nonce, Workspace: fmt.Sprint("w", turn.arrival.workspace),
@@ -414,12 +442,16 @@
 	cached := min(e.cache.tokens(a.chat), a.prefix)
 	e.cache.put(a.chat, a.prefix+a.added)
 	e.inFlight++
+	last, known := r.memory.Recall(uint64(a.chat))
 	r.memory.Remember(uint64(a.chat), e.name)
 	prefill := seconds(float64(a.prefix+a.added-cached) / prefillPerSecond)
 	heap.Push(&r.done, completion{at: r.now + prefill + a.decode, id: id, engine: e})
 	if r.now < warmUp {
 		return
 	}
+	if known && last.Last != e.name {
+		r.result.moved++
+	}
 	r.result.cached += cached
 	r.result.prefix += a.prefix
 	r.result.waits = append(r.result.waits, r.now-since)
@@ -433,18 +465,45 @@
 	r.apply(c.engine, c.engine.scheduler.Finish(r.clock(), c.id))
 }
 
+// flaps reports whether the flapping engine refuses connections now: for one
+// second in eight.
+func (r *replay) flaps(e *replayEngine) bool {
+	return r.policy.flapping && e == r.engines[len(r.engines)/2] && r.now%(8*time.Second) < time.Second
+}
+
+// known returns the engines that a router ranks.
+func (r *replay) known(nonce uint64) []*replayEngine {
+	engines := r.engines
+	sinceReplaced := r.now % replaceInterval
+	if r.policy.staleLists && r.former != nil && sinceReplaced < staleFor && nonce%2 == 0 {
+		engines = append([]*replayEngine{r.former}, r.engines[:len(r.engines)-1]...)
+	}
+	if !r.policy.flapping {
+		return engines
+	}
+	live := make(map[string]bool)
+	for _, u := range r.members.Upstreams(r.clock()) {
+		live[u.Host.Name] = u.Condition == membership.Alive
+	}
+	return slices.DeleteFunc(slices.Clone(engines), func(e *replayEngine) bool { return !live[e.name] })
+}
+
+// staleFor is how long routers hold differing lists.
+const staleFor = 5 * time.Second
+
 // byStrategy ranks with a placement strategy.
 func byStrategy(s placement.Strategy) func(*replay, arrival, uint64) []*replayEngine {
 	return func(r *replay, a arrival, nonce uint64) []*replayEngine {
-		candidates := make([]placement.Candidate, 0, len(r.engines))
-		for _, e := range r.engines {
+		engines := r.known(nonce)
+		candidates := make([]placement.Candidate, 0, len(engines))
+		for _, e := range engines {
 			candidates = append(candidates, placement.Candidate{Name: e.name, InFlight: e.inFlight})
 		}
 		key := placement.Key(fmt.Sprint("chat-", a.chat))
 		order := s.Rank(placement.Request{Key: key, Nonce: nonce}, candidates, nil)
 		out := make([]*replayEngine, 0, len(order))
 		for _, i := range order {
-			out = append(out, r.engines[i])
+			out = append(out, engines[i])
 		}
 		return out
 	}
