--- a/internal/claims/settings.go
+++ b/internal/claims/settings.go
@@ -11,10 +11,15 @@
 // Slots, Retention and ClockAllowance.
 type Settings struct {
 	// Slots is the number of journals. With CommitInterval it bounds the writes
-	// of the whole fleet: at most Slots / CommitInterval per second.
+	// of the whole fleet: Slots / CommitInterval per second, and AppendBurst
+	// for each slot after a pause.
 	Slots int `yaml:"slots" validate:"gte=1,lte=1024"`
-	// CommitInterval is the least time between two appends to one slot.
+	// CommitInterval is the mean time between two appends to one slot under
+	// load.
 	CommitInterval settings.Duration `yaml:"commit_interval" validate:"gt=0"`
+	// AppendBurst is the number of appends to a slot that may follow each other
+	// at once after a pause.
+	AppendBurst int `yaml:"append_burst" validate:"gte=1"`
 	// OutcomeDelay is the longest time that an outcome waits to share a
 	// segment with claims.
 	OutcomeDelay settings.Duration `yaml:"outcome_delay" validate:"gt=0"`
@@ -57,6 +62,7 @@
 const (
 	defaultSlots           = 16
 	defaultCommitInterval  = 100 * time.Millisecond
+	defaultAppendBurst     = 4
 	defaultOutcomeDelay    = 250 * time.Millisecond
 	defaultRetention       = 15 * time.Minute
 	defaultClockAllowance  = 30 * time.Second
@@ -81,6 +87,7 @@
 	return Settings{
 		Slots:           defaultSlots,
 		CommitInterval:  settings.Duration(defaultCommitInterval),
+		AppendBurst:     defaultAppendBurst,
 		OutcomeDelay:    settings.Duration(defaultOutcomeDelay),
 		Retention:       settings.Duration(defaultRetention),
 		ClockAllowance:  settings.Duration(defaultClockAllowance),
@@ -106,6 +113,7 @@
 		Retention:      s.Retention.Std(),
 		ClockAllowance: s.ClockAllowance.Std(),
 		CommitInterval: s.CommitInterval.Std(),
+		AppendBurst:    s.AppendBurst,
 		OutcomeDelay:   s.OutcomeDelay.Std(),
 		ClaimWait:      s.ClaimWait.Std(),
 		RetryPause:     s.RetryPause.Std(),
--- a/internal/ledger/append.go
+++ b/internal/ledger/append.go
@@ -52,7 +52,7 @@
 
 // appendDue returns when the queued records are to be written.
 func (l *Ledger) appendDue() time.Time {
-	due := l.journal.lastAppend.Add(l.cfg.CommitInterval)
+	due := l.pace.Add(-time.Duration(l.cfg.AppendBurst-1) * l.cfg.CommitInterval)
 	if l.queue.claims == 0 && !l.draining {
 		due = later(due, l.queue.since.Add(l.cfg.OutcomeDelay))
 	}
@@ -70,7 +70,7 @@
 		segment.Records = l.compactedRecords()
 	}
 	segment.Records = append(segment.Records, records...)
-	l.journal.lastAppend = l.now
+	l.pace = later(l.pace, l.now).Add(l.cfg.CommitInterval)
 	l.flight = &flight{records: records, sentAt: l.now, append: Append{
 		Number: l.journal.next, After: l.journal.head, Segment: segment,
 		Remove: l.journal.removable(maxRemovals),
--- a/internal/ledger/config.go
+++ b/internal/ledger/config.go
@@ -13,8 +13,11 @@
 	Retention time.Duration
 	// ClockAllowance is how far a key's issue time may lie in the future.
 	ClockAllowance time.Duration
-	// CommitInterval is the least time between two appends.
+	// CommitInterval is the mean time between two appends under load.
 	CommitInterval time.Duration
+	// AppendBurst is the number of appends that may follow each other at once
+	// after a pause, at least 1.
+	AppendBurst int
 	// OutcomeDelay is the longest time that an outcome waits to share a
 	// segment with claims.
 	OutcomeDelay time.Duration
--- a/internal/ledger/journal.go
+++ b/internal/ledger/journal.go
@@ -22,9 +22,8 @@
 	head int64
 	next uint64
 	// horizon is as in Segment; newest is the latest issue time claimed.
-	horizon    int64
-	newest     int64
-	lastAppend time.Time
+	horizon int64
+	newest  int64
 	// confirmed is when the head was last known to be in place.
 	confirmed time.Time
 	// swept is the horizon up to which actions were forgotten.
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -89,6 +89,8 @@
 	journal journal
 	queue   queue
 	flight  *flight
+	// pace is when the appends made so far would end at the mean rate.
+	pace    time.Time
 	check   headCheck
 	results resultStore
 }
--- a/internal/ledger/world_test.go
+++ b/internal/ledger/world_test.go
@@ -67,7 +67,7 @@
 func worldConfig(name string) Config {
 	return Config{
 		Holder: name, Retention: time.Minute, ClockAllowance: time.Second,
-		CommitInterval: 10 * time.Millisecond, OutcomeDelay: 50 * time.Millisecond,
+		CommitInterval: 10 * time.Millisecond, AppendBurst: 3, OutcomeDelay: 50 * time.Millisecond,
 		ClaimWait: 200 * time.Millisecond, RetryPause: 10 * time.Millisecond,
 		MaxRetryPause: 100 * time.Millisecond, HoldOff: 20 * time.Millisecond,
 		TrustTime: -1, CheckInterval: 100 * time.Millisecond,
