--- a/internal/claims/fake_test.go
+++ b/internal/claims/fake_test.go
@@ -72,9 +72,10 @@
 // fleet is a set of daemons that share a store and a plain service; the
 // service counts executions and is the judge.
 type fleet struct {
-	t     *testing.T
-	store *kvmem.Store
-	clock offsetClock
+	t        *testing.T
+	store    kv.Store
+	settings Settings
+	clock    offsetClock
 
 	mu         sync.Mutex
 	executions map[uuid.UUID]int
@@ -82,7 +83,7 @@
 
 func newFleet(t *testing.T) *fleet {
 	return &fleet{
-		t: t, store: kvmem.New(kvmem.Options{}), clock: offsetClock{offset: new(atomic.Int64)},
+		t: t, store: kvmem.New(kvmem.Options{}), settings: testSettings(), clock: offsetClock{offset: new(atomic.Int64)},
 		executions: map[uuid.UUID]int{},
 	}
 }
@@ -103,7 +104,7 @@
 	l := &link{Store: f.store}
 	logger, _ := test.NewNullLogger()
 	c := New(Options{
-		Store: l, Self: name, Settings: testSettings(), Clock: f.clock,
+		Store: l, Self: name, Settings: f.settings, Clock: f.clock,
 		Registry: metrics.NewRegistry(), Logger: logger,
 	})
 	f.t.Cleanup(c.cancel)
