--- a/internal/actions/actions.go
+++ b/internal/actions/actions.go
@@ -49,8 +49,8 @@
 	return &Runner{self: self, view: view, slotOf: slotOf, remote: remote, local: local}
 }
 
-// RunAction implements router.Actions. A holder that can't be reached is
-// replaced by the next in order: the journal keeps the former holder from
+// RunAction implements router.Actions. A holder that is leaving or can't be
+// reached is replaced by the next in order: the journal keeps the former holder from
 // claiming, so that asking another one never runs the action twice.
 func (r *Runner) RunAction(ctx context.Context, request *peerpb.ActionRequest) (*peerpb.ActionResult, *refusal.Refusal) {
 	key, err := uuid.Parse(request.GetActionKey())
@@ -64,10 +64,10 @@
 			return result, nil
 		}
 		var refused *refusal.Refusal
-		if errors.As(err, &refused) {
+		if errors.As(err, &refused) && refused.Kind != refusal.Leaving {
 			return nil, withHistory(refused, reached)
 		}
-		reached = reached || !errors.Is(err, relay.ErrOwnerUnreachable)
+		reached = reached || mayHaveClaimed(err)
 		if ctx.Err() != nil {
 			break
 		}
@@ -77,6 +77,16 @@
 		WithRetryAfter(retryAfterHolders), reached)
 }
 
+// mayHaveClaimed reports whether a holder that gave no answer may have claimed
+// the action. A leaving holder refuses before it claims.
+func mayHaveClaimed(err error) bool {
+	var refused *refusal.Refusal
+	if errors.As(err, &refused) {
+		return refused.Outcome != refusal.NotRun
+	}
+	return !errors.Is(err, relay.ErrOwnerUnreachable)
+}
+
 // holders returns the routers to ask, the computed holder first.
 func (r *Runner) holders(key uuid.UUID) []string {
 	slot := claims.SlotName(r.slotOf(key))
@@ -103,10 +113,12 @@
 // a later holder's "not run" concerns only its own part, unless that holder
 // has looked into the journal and fenced the former one.
 func withHistory(refused *refusal.Refusal, reached bool) *refusal.Refusal {
-	if reached && refused.Outcome == refusal.NotRun && !isFenced(refused.Kind) {
-		refused.Outcome = refusal.Unknown
+	if !reached || refused.Outcome != refusal.NotRun || isFenced(refused.Kind) {
+		return refused
 	}
-	return refused
+	unknown := *refused
+	unknown.Outcome = refusal.Unknown
+	return &unknown
 }
 
 func isFenced(kind refusal.Kind) bool {
--- a/internal/actions/holder.go
+++ b/internal/actions/holder.go
@@ -36,16 +36,12 @@
 	if err != nil {
 		return nil, refusal.New(refusal.ActionKeyInvalid, "the action key is no UUID: make a new one")
 	}
-	plan, refused := h.Planner.Plan(request.GetWorkspace(), request.GetCall().GetService(), key.String(), fleet.KindService)
-	if refused != nil {
-		return nil, refused
-	}
 	action := claims.Action{Key: key, Workspace: request.GetWorkspace(), Fingerprint: callFingerprint(request)}
 	ctx, span := telemetry.StartSpan(telemetry.WithTraceparent(ctx, request.GetTraceparent()), "holder.action",
 		attribute.String("service", request.GetCall().GetService()))
 	defer span.End()
 	result, refused := h.Claims.Do(ctx, action, func(ctx context.Context) (claims.Result, error) {
-		return h.dispatch(ctx, plan, request.GetCall())
+		return h.dispatch(ctx, key, request)
 	})
 	if refused != nil {
 		return nil, refused
@@ -57,8 +53,15 @@
 }
 
 // dispatch sends the call to the first instance that a connection can be made
-// to. Once connected, no other instance is tried.
-func (h *Holder) dispatch(ctx context.Context, plan relay.Plan, call *peerpb.ServiceCall) (claims.Result, error) {
+// to. Once connected, no other instance is tried. The instances are chosen
+// after the claim: a resend learns the outcome of its action also when the
+// configuration no longer admits it.
+func (h *Holder) dispatch(ctx context.Context, key uuid.UUID, request *peerpb.ActionRequest) (claims.Result, error) {
+	call := request.GetCall()
+	plan, refused := h.Planner.Plan(request.GetWorkspace(), call.GetService(), key.String(), fleet.KindService)
+	if refused != nil {
+		return claims.Result{}, refused
+	}
 	ctx, cancel := context.WithTimeout(ctx, h.Timeout)
 	defer cancel()
 	for _, name := range plan.Ranked {
