--- a/Makefile
+++ b/Makefile
@@ -32,3 +32,6 @@
 traces: build
 	$(BIN)/vt-replay generate --profile shrestha --seed 1 --out traces/shrestha.jsonl
 	$(BIN)/vt-replay generate --profile litoral --seed 2 --out traces/litoral.jsonl
+
+demo: build
+	@scripts/demo.sh traces/shrestha.jsonl out/demo
--- a/cmd/vt-replay/main.go
+++ b/cmd/vt-replay/main.go
@@ -34,6 +34,6 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(newGenerateCommand())
+	root.AddCommand(newGenerateCommand(), newLayoutCommand(), newProcessesCommand(), newReadyCommand(), newRunCommand())
 	return root
 }
--- a/internal/callers/chat.go
+++ b/internal/callers/chat.go
@@ -67,7 +67,7 @@
 
 // attempt sends the turn to one router and reads what it sends.
 func (s *chatSession) attempt(ctx context.Context, router string) error {
-	watchdog, ctx := newWatchdog(ctx, s.client.settings.SilenceTimeout)
+	watchdog, ctx := newWatchdog(ctx, &s.client.settings)
 	defer watchdog.stop()
 	request, err := s.request(ctx, router)
 	if err != nil {
--- a/internal/callers/client.go
+++ b/internal/callers/client.go
@@ -48,6 +48,9 @@
 	LookupTimeout time.Duration
 	// ConnectTimeout bounds one attempt to connect to a router.
 	ConnectTimeout time.Duration
+	// ResponseTimeout is the longest wait for the head of an answer; a router
+	// sends nothing while a call waits for an engine.
+	ResponseTimeout time.Duration
 	// SilenceTimeout is the longest wait for the next byte of an answer.
 	SilenceTimeout time.Duration
 	// Delay is added before each request, as the way to the fleet.
@@ -58,9 +61,10 @@
 
 // Defaults of Settings.
 const (
-	DefaultLookupTimeout  = time.Second
-	DefaultConnectTimeout = time.Second
-	DefaultSilenceTimeout = 5 * time.Second
+	DefaultLookupTimeout   = time.Second
+	DefaultConnectTimeout  = time.Second
+	DefaultResponseTimeout = 10 * time.Second
+	DefaultSilenceTimeout  = 5 * time.Second
 )
 
 // Pauses between the attempts of one call.
@@ -88,6 +92,7 @@
 func New(s Settings) *Client {
 	s.LookupTimeout = orDefault(s.LookupTimeout, DefaultLookupTimeout)
 	s.ConnectTimeout = orDefault(s.ConnectTimeout, DefaultConnectTimeout)
+	s.ResponseTimeout = orDefault(s.ResponseTimeout, DefaultResponseTimeout)
 	s.SilenceTimeout = orDefault(s.SilenceTimeout, DefaultSilenceTimeout)
 	dialer := &net.Dialer{Timeout: s.ConnectTimeout}
 	return &Client{
--- a/internal/callers/retry.go
+++ b/internal/callers/retry.go
@@ -72,16 +72,17 @@
 	return errors.Wrap(ErrConnectionLost, err.Error())
 }
 
-// watchdog cancels a context when nothing was read for a while.
+// watchdog cancels a context when no answer has begun in time, or when nothing
+// was read of it for a while.
 type watchdog struct {
 	timer   *time.Timer
 	silence time.Duration
 	cancel  context.CancelFunc
 }
 
-func newWatchdog(ctx context.Context, silence time.Duration) (*watchdog, context.Context) {
+func newWatchdog(ctx context.Context, s *Settings) (*watchdog, context.Context) {
 	ctx, cancel := context.WithCancel(ctx)
-	return &watchdog{timer: time.AfterFunc(silence, cancel), silence: silence, cancel: cancel}, ctx
+	return &watchdog{timer: time.AfterFunc(s.ResponseTimeout, cancel), silence: s.SilenceTimeout, cancel: cancel}, ctx
 }
 
 func (w *watchdog) stop() {
@@ -91,6 +92,7 @@
 
 // reader returns a reader that restarts the timer with each read.
 func (w *watchdog) reader(r io.Reader) io.Reader {
+	w.timer.Reset(w.silence)
 	return readerFunc(func(p []byte) (int, error) {
 		n, err := r.Read(p)
 		if n > 0 {
--- a/internal/callers/service.go
+++ b/internal/callers/service.go
@@ -71,7 +71,7 @@
 		s.route.addresses = s.route.addresses[1:]
 		router = s.route.addresses[0]
 	}
-	watchdog, ctx := newWatchdog(ctx, s.client.settings.SilenceTimeout)
+	watchdog, ctx := newWatchdog(ctx, &s.client.settings)
 	defer watchdog.stop()
 	request, err := s.request(ctx, router)
 	if err != nil {
--- /dev/null
+++ b/internal/layout/ports.go
@@ -0,0 +1,59 @@
+package layout
+
+import (
+	"net"
+	"os"
+	"strconv"
+
+	"github.com/pkg/errors"
+)
+
+// ErrNoPorts means that too few ports are free.
+var ErrNoPorts = errors.New("too few free ports on 127.0.0.1: end other runs")
+
+const (
+	loopback = "127.0.0.1"
+	// firstPort and lastPort lie below the ports that systems give to outgoing
+	// connections, so that none is taken between the check and its use.
+	firstPort = 20000
+	lastPort  = 30000
+	// portStride spreads the runs of different processes over the range.
+	portStride = 131
+)
+
+// ports gives out addresses that are free for TCP and UDP.
+type ports struct {
+	next int
+	left int
+}
+
+func newPorts() *ports {
+	return &ports{next: os.Getpid() * portStride % (lastPort - firstPort), left: lastPort - firstPort}
+}
+
+// take returns a free IP number and port.
+func (p *ports) take() (string, error) {
+	for p.left > 0 {
+		p.left--
+		port := firstPort + p.next
+		p.next = (p.next + 1) % (lastPort - firstPort)
+		address := net.JoinHostPort(loopback, strconv.Itoa(port))
+		if free(address) {
+			return address, nil
+		}
+	}
+	return "", ErrNoPorts
+}
+
+func free(address string) bool {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return false
+	}
+	defer func() { _ = listener.Close() }()
+	packets, err := net.ListenPacket("udp", address)
+	if err != nil {
+		return false
+	}
+	return packets.Close() == nil
+}
--- /dev/null
+++ b/internal/replay/faults.go
@@ -0,0 +1,91 @@
+package replay
+
+import (
+	"context"
+	"os"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/verbenatrail/verbenatrail/internal/hostlist"
+	"github.com/verbenatrail/verbenatrail/internal/layout"
+	"github.com/verbenatrail/verbenatrail/internal/standin"
+	"github.com/verbenatrail/verbenatrail/internal/standin/hostserver"
+	"github.com/verbenatrail/verbenatrail/internal/trace"
+)
+
+// playFault brings about one fault at its time.
+func (r *run) playFault(ctx context.Context, fault trace.Fault) {
+	if r.waitUntil(ctx, fault.At()) != nil {
+		return
+	}
+	record := FaultRecord{At: time.Since(r.started), Target: fault.Target, Action: fault.Action}
+	if err := r.bringAbout(ctx, fault); err != nil {
+		record.Failure = err.Error()
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.record.Faults = append(r.record.Faults, record)
+}
+
+func (r *run) bringAbout(ctx context.Context, fault trace.Fault) error {
+	target, err := r.options.Layout.ByName(fault.Target)
+	if err != nil {
+		return err
+	}
+	if fault.Action == trace.ActionSet {
+		return r.admin.post(ctx, target.Address, standin.PathFaults, fault.Body)
+	}
+	if err := Signal(target, fault.Action); err != nil {
+		return err
+	}
+	return r.tellHostList(ctx, fault)
+}
+
+// Signal sends a process the signal of a fault. The process is known by the
+// pid file of the layout.
+func Signal(p *layout.Process, action trace.FaultAction) error {
+	signal, ok := signals[action]
+	if !ok {
+		return errors.Errorf("action %q has no signal", action)
+	}
+	data, err := os.ReadFile(p.PIDFile)
+	if err != nil {
+		return errors.Wrap(err, "pid file: start the process first")
+	}
+	pid, err := strconv.Atoi(strings.TrimSpace(string(data)))
+	if err != nil || pid <= 1 {
+		return errors.Errorf("%s holds no pid", p.PIDFile)
+	}
+	return errors.Wrap(syscall.Kill(pid, signal), p.Name)
+}
+
+var signals = map[trace.FaultAction]syscall.Signal{
+	trace.ActionKill:     syscall.SIGKILL,
+	trace.ActionFreeze:   syscall.SIGSTOP,
+	trace.ActionThaw:     syscall.SIGCONT,
+	trace.ActionShutdown: syscall.SIGTERM,
+}
+
+// tellHostList changes the platform's list as the platform would, which shows
+// the change after its lag.
+func (r *run) tellHostList(ctx context.Context, fault trace.Fault) error {
+	change := hostserver.Change{Host: hostlist.Host{Name: fault.Target}}
+	switch fault.Action {
+	case trace.ActionKill:
+		change.Change = hostserver.ChangeRemove
+	case trace.ActionShutdown:
+		change.Change = hostserver.ChangeSetState
+		change.Host.State = hostlist.StateLeaving
+	default:
+		return nil
+	}
+	list, err := r.options.Layout.ByName(layout.HostListName)
+	if err != nil || fault.Target == layout.KeyValueName {
+		return err
+	}
+	return r.admin.post(ctx, list.Address, hostserver.PathHosts, change)
+}
--- /dev/null
+++ b/internal/replay/replay.go
@@ -0,0 +1,152 @@
+package replay
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/verbenatrail/verbenatrail/internal/callers"
+	"github.com/verbenatrail/verbenatrail/internal/layout"
+	"github.com/verbenatrail/verbenatrail/internal/trace"
+)
+
+const (
+	sampleInterval   = 250 * time.Millisecond
+	progressInterval = 5 * time.Second
+	// settleTime lets the last executions and revisions show in the samples.
+	settleTime = time.Second
+)
+
+// Options of Run.
+type Options struct {
+	Trace  *trace.Trace
+	Layout *layout.Layout
+	// Progress receives a line every few seconds; nil for none.
+	Progress io.Writer
+	// Callers are the settings of the callers, without their directories.
+	Callers callers.Settings
+}
+
+// Run replays a trace and returns what it saw. The error tells of a replay
+// that couldn't be made, not of a bad outcome.
+func Run(ctx context.Context, o Options) (*Record, error) {
+	r, err := newRun(o)
+	if err != nil {
+		return nil, err
+	}
+	defer r.close()
+	watching, stopWatching := context.WithCancel(ctx)
+	defer stopWatching()
+	var watchers errgroup.Group
+	watchers.Go(func() error { r.sampler.run(watching); return nil })
+	watchers.Go(func() error { r.showProgress(watching); return nil })
+	r.drive(ctx)
+	_ = wait(ctx, settleTime)
+	r.collectExecutions(ctx)
+	stopWatching()
+	_ = watchers.Wait()
+	r.record.Samples = r.sampler.samples
+	return r.record, ctx.Err()
+}
+
+// run is the state of one replay.
+type run struct {
+	options Options
+	started time.Time
+	clients map[string]*callers.Client
+	sampler *sampler
+	admin   *adminClient
+
+	mu     sync.Mutex
+	record *Record
+}
+
+func newRun(o Options) (*run, error) {
+	r := &run{
+		options: o, started: time.Now(), clients: make(map[string]*callers.Client),
+		admin: newAdminClient(), record: &Record{Trace: o.Trace},
+	}
+	var directories []string
+	for _, p := range o.Layout.OfKind(layout.KindDirectory) {
+		directories = append(directories, p.Address)
+	}
+	for i, w := range o.Trace.Workspaces {
+		s := o.Callers
+		s.Directories = directories
+		s.Delay = time.Duration(o.Trace.Settings.ClientDelayUS) * time.Microsecond
+		s.Seed = o.Trace.Settings.Seed + uint64(i)
+		r.clients[w.Name] = callers.New(s)
+	}
+	r.sampler = newSampler(o.Layout, o.Trace, r.admin, r.started)
+	return r, r.checkTargets()
+}
+
+func (r *run) close() {
+	for _, client := range r.clients {
+		client.Close()
+	}
+	r.admin.close()
+}
+
+// checkTargets reports faults whose target isn't in the layout.
+func (r *run) checkTargets() error {
+	for _, fault := range r.options.Trace.Faults {
+		if _, err := r.options.Layout.ByName(fault.Target); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// drive sends the whole traffic and returns after the last answer.
+func (r *run) drive(ctx context.Context) {
+	var group errgroup.Group
+	for _, turns := range turnsByChat(r.options.Trace.Turns) {
+		group.Go(func() error { r.playChat(ctx, turns); return nil })
+	}
+	for _, call := range r.options.Trace.Calls {
+		group.Go(func() error { r.playCall(ctx, call); return nil })
+	}
+	for _, fault := range r.options.Trace.Faults {
+		group.Go(func() error { r.playFault(ctx, fault); return nil })
+	}
+	group.Go(func() error { r.playChanges(ctx); return nil })
+	_ = group.Wait()
+}
+
+// waitUntil waits for a time of the trace.
+func (r *run) waitUntil(ctx context.Context, at time.Duration) error {
+	return wait(ctx, time.Until(r.started.Add(at)))
+}
+
+func wait(ctx context.Context, d time.Duration) error {
+	if d <= 0 {
+		return ctx.Err()
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (r *run) showProgress(ctx context.Context) {
+	if r.options.Progress == nil {
+		return
+	}
+	for wait(ctx, progressInterval) == nil {
+		r.mu.Lock()
+		turns, calls := len(r.record.Turns), len(r.record.Calls)
+		r.mu.Unlock()
+		fmt.Fprintf(r.options.Progress, "replay %s: %d s of %d s, %d of %d turns and %d calls ended\n",
+			r.options.Trace.Settings.Name, int(time.Since(r.started).Seconds()),
+			int(r.options.Trace.Settings.Duration().Seconds()), turns, len(r.options.Trace.Turns), calls)
+	}
+}
--- a/internal/trace/litoral.go
+++ b/internal/trace/litoral.go
@@ -27,8 +27,8 @@
 		},
 		Workspaces: litoralWorkspaces(),
 		Selectors: []Selector{
-			{Name: "contracts", Workspaces: map[string]string{"company": "litoral"}, Upstreams: contracts},
-			{Name: "workorders", Workspaces: map[string]string{"company": "litoral"}, Upstreams: workOrders},
+			{Name: "contracts", Models: []string{"contracts"}, Workspaces: map[string]string{"company": "litoral"}, Upstreams: contracts},
+			{Name: "workorders", Services: []string{"workorders"}, Workspaces: map[string]string{"company": "litoral"}, Upstreams: workOrders},
 		},
 		Chats: ChatProfile{
 			Model: "contracts", FirstWordsMin: 300, FirstWordsMax: 1200,
--- a/internal/trace/shrestha.go
+++ b/internal/trace/shrestha.go
@@ -25,8 +25,8 @@
 		},
 		Workspaces: shresthaWorkspaces(),
 		Selectors: []Selector{
-			{Name: "assistant", Workspaces: map[string]string{"customer": "contractor"}, Upstreams: assistant},
-			{Name: "booking", Workspaces: map[string]string{"customer": "contractor"}, Upstreams: booking},
+			{Name: "assistant", Models: []string{"assistant"}, Workspaces: map[string]string{"customer": "contractor"}, Upstreams: assistant},
+			{Name: "booking", Services: []string{"booking"}, Workspaces: map[string]string{"customer": "contractor"}, Upstreams: booking},
 		},
 		Chats: ChatProfile{
 			Model: "assistant", FirstWordsMin: 200, FirstWordsMax: 900,
--- a/internal/trace/trace.go
+++ b/internal/trace/trace.go
@@ -129,6 +129,8 @@
 type Selector struct {
 	Name       string            `json:"name"`
 	Workspaces map[string]string `json:"workspaces"`
+	Models     []string          `json:"models,omitempty"`
+	Services   []string          `json:"services,omitempty"`
 	Upstreams  map[string]string `json:"upstreams"`
 }
 
