--- a/internal/replay/report.go
+++ b/internal/replay/report.go
@@ -41,6 +41,9 @@
 	Resumes   int           `json:"resumes"`
 	Restarts  int           `json:"restarts"`
 	Faults    []FaultRecord `json:"faults"`
+	// Samples counts all samples; Uneven are those with the highest skew.
+	Samples int            `json:"samples"`
+	Uneven  []UnevenSample `json:"uneven,omitempty"`
 }
 
 // maxFailures bounds the failures that a report lists.
@@ -51,6 +54,7 @@
 	report := &Report{
 		Trace: r.Trace.Settings.Name, Seed: r.Trace.Settings.Seed,
 		Passed: Passed(verdicts), Verdicts: verdicts, Latencies: latencies(r), Faults: r.Faults,
+		Samples: len(r.Samples), Uneven: unevenSamples(r),
 	}
 	for _, t := range r.Turns {
 		report.Resumes += t.Resumes
@@ -149,3 +153,29 @@
 	}
 	return out.String()
 }
+
+// UnevenSample is a sample in which one engine had far more than the mean.
+type UnevenSample struct {
+	AtS     float64 `json:"at_s"`
+	Pool    string  `json:"pool"`
+	Mean    float64 `json:"mean"`
+	Highest float64 `json:"highest"`
+	Skew    float64 `json:"skew"`
+}
+
+// maxUneven bounds the uneven samples that a report lists.
+const maxUneven = 20
+
+// unevenSamples returns the samples with the highest skew, worst first.
+func unevenSamples(r *Record) []UnevenSample {
+	var out []UnevenSample
+	for _, sample := range r.Samples {
+		for pool, load := range poolLoads(sample) {
+			if load.Skew() > 1 {
+				out = append(out, UnevenSample{sample.At.Seconds(), pool, load.Mean, load.Highest, load.Skew()})
+			}
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Skew > out[j].Skew })
+	return out[:min(len(out), maxUneven)]
+}
--- a/internal/trace/litoral.go
+++ b/internal/trace/litoral.go
@@ -32,8 +32,8 @@
 		},
 		Chats: ChatProfile{
 			Model: "contracts", FirstWordsMin: 300, FirstWordsMax: 1200,
-			NextWordsMin: 10, NextWordsMax: 80, AnswerMin: 15, AnswerMax: 60,
-			ReturnShare: 0.6, PauseMinMS: 2000, TimeoutMS: 25000,
+			NextWordsMin: 10, NextWordsMax: 80, AnswerMin: 120, AnswerMax: 360,
+			ReturnShare: 0.6, PauseMinMS: 5000, TimeoutMS: 25000,
 		},
 		Calls: []CallProfile{
 			{Service: "workorders", Method: "POST", Path: "/orders", Action: true, Share: 0.2, ResendShare: 0.3},
--- a/internal/trace/shrestha.go
+++ b/internal/trace/shrestha.go
@@ -30,8 +30,8 @@
 		},
 		Chats: ChatProfile{
 			Model: "assistant", FirstWordsMin: 200, FirstWordsMax: 900,
-			NextWordsMin: 10, NextWordsMax: 60, AnswerMin: 10, AnswerMax: 50,
-			ReturnShare: 0.7, PauseMinMS: 2000, TimeoutMS: 20000,
+			NextWordsMin: 10, NextWordsMax: 60, AnswerMin: 100, AnswerMax: 300,
+			ReturnShare: 0.7, PauseMinMS: 5000, TimeoutMS: 20000,
 		},
 		Calls: []CallProfile{
 			{Service: "booking", Method: "POST", Path: "/confirmations", Action: true, Share: 0.4, ResendShare: 0.3},
