--- a/internal/trace/litoral.go
+++ b/internal/trace/litoral.go
@@ -27,13 +27,13 @@
 		},
 		Workspaces: litoralWorkspaces(),
 		Selectors: []Selector{
-			{Name: "contracts", Workspaces: map[string]string{"company": "litoral"}, Upstreams: contracts},
-			{Name: "workorders", Workspaces: map[string]string{"company": "litoral"}, Upstreams: workOrders},
+			{Name: "contracts", Models: []string{"contracts"}, Workspaces: map[string]string{"company": "litoral"}, Upstreams: contracts},
+			{Name: "workorders", Services: []string{"workorders"}, Workspaces: map[string]string{"company": "litoral"}, Upstreams: workOrders},
 		},
 		Chats: ChatProfile{
 			Model: "contracts", FirstWordsMin: 300, FirstWordsMax: 1200,
-			NextWordsMin: 10, NextWordsMax: 80, AnswerMin: 15, AnswerMax: 60,
-			ReturnShare: 0.6, PauseMinMS: 2000, TimeoutMS: 25000,
+			NextWordsMin: 10, NextWordsMax: 80, AnswerMin: 120, AnswerMax: 360,
+			ReturnShare: 0.6, PauseMinMS: 5000, TimeoutMS: 25000,
 		},
 		Calls: []CallProfile{
 			{Service: "workorders", Method: "POST", Path: "/orders", Action: true, Share: 0.2, ResendShare: 0.3},
