--- a/internal/capacity/caller.go
+++ b/internal/capacity/caller.go
@@ -93,43 +93,48 @@
 	return response.Body, nil
 }
 
-// ask sends a turn and reads its whole answer.
-func (c *caller) ask(ctx context.Context, address string, t turn) error {
+// ask sends a turn, reads its whole answer and returns the time until the
+// first event.
+func (c *caller) ask(ctx context.Context, address string, t turn) (time.Duration, error) {
+	begun := time.Now()
 	stream, err := c.open(ctx, address, t)
 	if err != nil {
-		return err
+		return 0, err
 	}
 	defer func() { _ = stream.Close() }()
+	// The head of the response is sent with the first event.
+	first := time.Since(begun)
 	scanner := bufio.NewScanner(stream)
 	for scanner.Scan() {
 		if strings.HasSuffix(scanner.Text(), engineapi.DoneMarker) {
-			return nil
+			return first, nil
 		}
 	}
-	return errors.New("chat: answer isn't whole")
+	return 0, errors.New("chat: answer isn't whole")
 }
 
-// act sends one non-idempotent call.
-func (c *caller) act(ctx context.Context, address string, number int) error {
+// act sends one non-idempotent call and returns the time until its answer.
+func (c *caller) act(ctx context.Context, address string, number int) (time.Duration, error) {
+	begun := time.Now()
 	key, err := uuid.NewV7()
 	if err != nil {
-		return errors.Wrap(err, "action key")
+		return 0, errors.Wrap(err, "action key")
 	}
 	path := router.PathServices + serviceName + "/confirm"
 	request, err := sling.New().Post("http://"+address+path).Body(strings.NewReader(`{"machine":"excavator"}`)).
 		Set(router.HeaderWorkspace, workspaceName(number%c.layout.Size.Workspaces)).
 		Set(router.HeaderActionKey, key.String()).Request()
 	if err != nil {
-		return errors.Wrap(err, "action")
+		return 0, errors.Wrap(err, "action")
 	}
 	response, err := c.client.Do(request.WithContext(ctx))
 	if err != nil {
-		return errors.Wrap(err, "action")
+		return 0, errors.Wrap(err, "action")
 	}
 	defer func() { _ = response.Body.Close() }()
 	_, _ = io.Copy(io.Discard, response.Body)
 	if response.StatusCode != http.StatusOK {
-		return errors.Errorf("action: status %d", response.StatusCode)
+		return 0, errors.Errorf("action: status %d", response.StatusCode)
 	}
-	return nil
+	return time.Since(begun), nil
 }
--- a/internal/capacity/experiment.go
+++ b/internal/capacity/experiment.go
@@ -189,9 +189,7 @@
 var controlKinds = []string{"ping", "ack", "relay"}
 
 func (e *Experiment) noteTraffic(s Span) {
-	total := s.perRouterSecond("cluster.sent.bytes") + s.perRouterSecond("cluster.received.bytes")
-	e.note("control: all bytes per router", "B/s", total)
-	e.note("control: host list bytes per router", "B/s", s.perRouterSecond("cluster.received.bytes.list"))
+	e.note("control: datagram bytes per router", "B/s", s.datagramBytes())
 	for _, direction := range []string{"sent", "received"} {
 		for _, kind := range controlKinds {
 			name := "cluster." + direction + "."
@@ -202,7 +200,18 @@
 	first := s.after.routers[0]
 	e.note("control: bytes of a host list poll, mean since the start", "B",
 		first.counter("cluster.received.bytes.list")/first.counter("cluster.received.messages.list"))
-	e.note("control: host list polls since the start, first router", "polls", first.counter("cluster.received.messages.list"))
+}
+
+// ListPolls measures the polls of the host list; its interval grows with the
+// list, up to half a minute.
+func (e *Experiment) ListPolls(ctx context.Context, length time.Duration) error {
+	span, err := e.idleSpan(ctx, length)
+	if err != nil {
+		return err
+	}
+	e.note("control: host list polls per router", "polls/s", span.perRouterSecond("cluster.received.messages.list"))
+	e.note("control: host list bytes per router", "B/s", span.perRouterSecond("cluster.received.bytes.list"))
+	return nil
 }
 
 // noteCalls notes the calls on the key-value service by kind, divided by a
--- a/internal/capacity/pace.go
+++ b/internal/capacity/pace.go
@@ -2,40 +2,65 @@
 
 import (
 	"context"
+	"sort"
 	"sync"
-	"sync/atomic"
 	"time"
+
+	"gonum.org/v1/gonum/stat"
 )
 
 // paced is the outcome of a paced load.
 type paced struct {
 	// done calls succeeded, failed ones did not.
-	done, failed int64
-	seconds      float64
+	done, failed int
+	// waits are the times that the calls returned, in seconds.
+	waits   []float64
+	seconds float64
+}
+
+// wait returns a quantile of the waits, zero without any.
+func (p paced) wait(quantile float64) float64 {
+	if len(p.waits) == 0 {
+		return 0
+	}
+	sort.Float64s(p.waits)
+	return stat.Quantile(quantile, stat.Empirical, p.waits, nil)
 }
 
 // rate is the calls that succeeded each second.
 func (p paced) rate() float64 { return float64(p.done) / p.seconds }
 
+// pacedCall makes one call and returns the time that its caller waited for.
+type pacedCall func(ctx context.Context, number int) (time.Duration, error)
+
 // runPaced starts calls at an even rate for a time and waits for their ends.
-func runPaced(ctx context.Context, perSecond float64, length time.Duration, call func(context.Context, int) error) paced {
-	var done, failed atomic.Int64
+func runPaced(ctx context.Context, perSecond float64, length time.Duration, call pacedCall) paced {
+	var mu sync.Mutex
+	var result paced
 	var group sync.WaitGroup
 	begun := time.Now()
-	total := int(perSecond * length.Seconds())
-	for i := range total {
+	for i := range int(perSecond * length.Seconds()) {
 		due := begun.Add(time.Duration(float64(i) / perSecond * float64(time.Second)))
 		if !pause(ctx, time.Until(due)) {
 			break
 		}
 		group.Go(func() {
-			if call(ctx, i) != nil {
-				failed.Add(1)
-				return
-			}
-			done.Add(1)
+			wait, err := call(ctx, i)
+			mu.Lock()
+			defer mu.Unlock()
+			result.add(wait, err)
 		})
 	}
 	group.Wait()
-	return paced{done: done.Load(), failed: failed.Load(), seconds: time.Since(begun).Seconds()}
+	result.seconds = time.Since(begun).Seconds()
+	return result
+}
+
+func (p *paced) add(wait time.Duration, err error) {
+	if err != nil {
+		p.failed++
+		return
+	}
+	p.done++
+	p.waits = append(p.waits, wait.Seconds())
 }
--- a/internal/capacity/sample.go
+++ b/internal/capacity/sample.go
@@ -127,6 +127,12 @@
 	return s.count(name) / float64(len(s.after.routers)) / s.seconds()
 }
 
+// datagramBytes is what each router sends and receives as datagrams each second.
+func (s Span) datagramBytes() float64 {
+	all := s.perRouterSecond("cluster.sent.bytes") + s.perRouterSecond("cluster.received.bytes")
+	return all - s.perRouterSecond("cluster.received.bytes.list")
+}
+
 // cpu is the processor time that all routers used, in seconds.
 func (s Span) cpu() float64 {
 	sum := 0.0
--- a/internal/capacity/traffic.go
+++ b/internal/capacity/traffic.go
@@ -28,6 +28,8 @@
 	tokensPerTurn = 16
 	// turnsPerSecond is the rate where the tokens are varied.
 	turnsPerSecond = 60
+	median         = 0.5
+	p95            = 0.95
 )
 
 var (
@@ -97,16 +99,21 @@
 }
 
 func (e *Experiment) noteRequests(w way, span Span, p paced) {
-	control := span.perRouterSecond("cluster.sent.bytes") + span.perRouterSecond("cluster.received.bytes")
-	e.noteAt(againstRequests, p.rate(), "chats of 16 tokens "+w.name+": processor, all routers", "core", span.cpu()/span.seconds())
-	e.noteAt(againstRequests, p.rate(), "chats of 16 tokens "+w.name+": control bytes per router", "B/s", control)
+	note := func(figure, unit string, value float64) {
+		e.noteAt(againstRequests, p.rate(), "chats of 16 tokens "+w.name+": "+figure, unit, value)
+	}
+	note("processor, all routers", "core", span.cpu()/span.seconds())
+	note("datagram bytes per router", "B/s", span.datagramBytes())
+	note("first token, median", "s", p.wait(median))
+	note("first token, p95", "s", p.wait(p95))
+	note("first token, longest", "s", p.wait(1))
 }
 
 func (e *Experiment) chatPhase(ctx context.Context, c *caller, addresses []string, rate float64, tokens int,
 	note func(Span, paced)) error {
 	var result paced
 	span, err := e.span(ctx, func(ctx context.Context) error {
-		result = runPaced(ctx, rate, phaseLength, func(ctx context.Context, i int) error {
+		result = runPaced(ctx, rate, phaseLength, func(ctx context.Context, i int) (time.Duration, error) {
 			n := i % len(addresses)
 			return c.ask(ctx, addresses[n], turn{number: n, maxTokens: tokens})
 		})
@@ -129,7 +136,7 @@
 	for _, rate := range actionRates {
 		var result paced
 		span, err := e.span(ctx, func(ctx context.Context) error {
-			result = runPaced(ctx, rate, phaseLength, func(ctx context.Context, i int) error {
+			result = runPaced(ctx, rate, phaseLength, func(ctx context.Context, i int) (time.Duration, error) {
 				return c.act(ctx, e.layout.Routers[i%len(e.layout.Routers)].Callers, i)
 			})
 			return ctx.Err()
@@ -149,6 +156,8 @@
 
 func (e *Experiment) noteActions(span Span, p paced) {
 	note := func(figure, unit string, value float64) { e.noteAt(againstActions, p.rate(), figure, unit, value) }
+	note("actions: until answered, median", "s", p.wait(median))
+	note("actions: until answered, p95", "s", p.wait(p95))
 	note("actions: processor, all routers", "core", span.cpu()/span.seconds())
 	note("actions: failed in a phase", "actions", float64(p.failed))
 	note("actions: bytes appended", "B/s", span.count("claims.append_bytes")/span.seconds())
@@ -189,9 +198,9 @@
 
 func (e *Experiment) lookupSpan(ctx context.Context, c *caller, rate float64) (Span, error) {
 	return e.span(ctx, func(ctx context.Context) error {
-		runPaced(ctx, rate, phaseLength, func(ctx context.Context, i int) error {
+		runPaced(ctx, rate, phaseLength, func(ctx context.Context, i int) (time.Duration, error) {
 			_, err := c.lookup(ctx, turn{number: i})
-			return err
+			return 0, err
 		})
 		return ctx.Err()
 	})
--- a/scripts/capacity.sh
+++ b/scripts/capacity.sh
@@ -80,9 +80,10 @@
 		done
 		;;
 	engines)
-		for n in 12 60 240 600; do
+		for n in 12 60 240; do
 			run_case "engines-$n" 8 "$n" 100 "listed engines" start,idle,changes,lookup-cost,steward
 		done
+		run_case engines-600 8 600 100 "listed engines" start,idle,changes,lookup-cost,steward,list
 		;;
 	workspaces)
 		for n in 100 3000 10000 30000; do
