--- a/internal/daemon/settings.go
+++ b/internal/daemon/settings.go
@@ -10,6 +10,7 @@
 	"github.com/verbenatrail/verbenatrail/internal/hostlist"
 	"github.com/verbenatrail/verbenatrail/internal/owner"
 	"github.com/verbenatrail/verbenatrail/internal/placement"
+	"github.com/verbenatrail/verbenatrail/internal/relay"
 	"github.com/verbenatrail/verbenatrail/internal/retry"
 	"github.com/verbenatrail/verbenatrail/internal/router"
 	"github.com/verbenatrail/verbenatrail/internal/settings"
@@ -36,8 +37,11 @@
 
 // Common are the settings that routers and directories share.
 type Common struct {
-	Name          string             `yaml:"name" validate:"required,max=64"`
-	Region        string             `yaml:"region" validate:"required,max=64"`
+	// Name is the process's name in the host list.
+	Name string `yaml:"name" validate:"required,max=64"`
+	// Region is the region of the process's host.
+	Region string `yaml:"region" validate:"required,max=64"`
+	// FailureDomain is the failure domain of the process's host.
 	FailureDomain string             `yaml:"failure_domain" validate:"required,max=64"`
 	Listen        Listen             `yaml:"listen"`
 	Platform      Platform           `yaml:"platform"`
@@ -57,6 +61,7 @@
 type RouterSettings struct {
 	Common      `yaml:",inline"`
 	Callers     router.Settings      `yaml:"callers"`
+	Relay       relay.Settings       `yaml:"relay"`
 	Owner       owner.Settings       `yaml:"owner"`
 	Retry       retry.Settings       `yaml:"retry"`
 	Containment containment.Settings `yaml:"containment"`
@@ -91,6 +96,7 @@
 	return RouterSettings{
 		Common:      defaultCommon(),
 		Callers:     router.DefaultSettings(),
+		Relay:       relay.DefaultSettings(),
 		Owner:       owner.DefaultSettings(),
 		Retry:       retry.DefaultSettings(),
 		Containment: containment.DefaultSettings(),
