--- a/cmd/vt-capacity/prepare.go
+++ b/cmd/vt-capacity/prepare.go
@@ -14,7 +14,7 @@
 )
 
 const (
-	defaultFirstPort = 24000
+	defaultFirstPort = 26000
 	defaultSeed      = 1
 	filePermission   = 0o644
 )
--- a/scripts/capacity.sh
+++ b/scripts/capacity.sh
@@ -7,7 +7,7 @@
 
 OUT=${OUT:-out/capacity}
 SEED=${SEED:-1}
-FIRST_PORT=${FIRST_PORT:-24000}
+FIRST_PORT=${FIRST_PORT:-26000}
 CASES=${CASES:-"routers engines workspaces load functions"}
 OBSERVATIONS=$OUT/observations.jsonl
 ENGINE_SERVERS=4
@@ -23,6 +23,7 @@
 	echo "$!" >"$DIR/$name.pid"
 }
 
+# stop_all ends the processes of a case; measure's log goes to the output.
 stop_all() {
 	[ -n "${DIR:-}" ] || return 0
 	for file in "$DIR"/*.pid; do
@@ -31,6 +32,8 @@
 		rm -f "$file"
 	done
 	wait
+	[ ! -e "$DIR/measure.log" ] || grep -h failed "$DIR/measure.log"
+	return 0
 }
 trap 'stop_all; exit 1' INT TERM
 trap stop_all EXIT
@@ -65,7 +68,9 @@
 		for settings in "$DIR"/router-*.yaml; do
 			start "$(basename "$settings" .yaml)" bin/vt-router --config "$settings"
 		done
-		bin/vt-capacity measure --dir "$DIR" --out "$OBSERVATIONS" --against "$5" --phases "$6"
+		# In the background, so that a signal is handled at once.
+		start measure bin/vt-capacity measure --dir "$DIR" --out "$OBSERVATIONS" --against "$5" --phases "$6"
+		wait "$(cat "$DIR/measure.pid")"
 	fi
 	stop_all
 }
@@ -91,7 +96,7 @@
 		done
 		;;
 	load)
-		run_case load 8 48 100 routers start,chats,actions,lookups,open
+		run_case load 8 48 100 routers start,chats,actions,takeover,lookups,open
 		;;
 	functions)
 		bin/vt-capacity functions --seed "$SEED" --out "$OBSERVATIONS"
