--- a/internal/daemon/fleet_test.go
+++ b/internal/daemon/fleet_test.go
@@ -10,7 +10,9 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -39,7 +41,7 @@
 // testFleet is a fleet in this process: routers, a directory, the platform's
 // stand-ins, engines and service instances.
 type testFleet struct {
-	t         *testing.T
+	t         testing.TB
 	kv        *kvserver.Server
 	hosts     *hostserver.Server
 	engines   map[string]*engine.Server
@@ -59,7 +61,13 @@
 
 type fleetSize struct{ routers, engines, instances int }
 
-func startFleet(t *testing.T, size fleetSize) *testFleet {
+func startFleet(t testing.TB, size fleetSize) *testFleet {
+	t.Helper()
+	return startFleetWith(t, size, func(*RouterSettings) {})
+}
+
+// startFleetWith changes the settings of each router before it starts.
+func startFleetWith(t testing.TB, size fleetSize, change func(*RouterSettings)) *testFleet {
 	t.Helper()
 	f := &testFleet{
 		t: t, engines: map[string]*engine.Server{}, instances: map[string]*service.Server{},
@@ -69,6 +77,7 @@
 	settings := make([]RouterSettings, 0, size.routers)
 	for i := 1; i <= size.routers; i++ {
 		s := f.routerSettings(fmt.Sprintf("router-%d", i))
+		change(&s)
 		settings = append(settings, s)
 		f.listed = append(f.listed, s.host(hostlist.KindRouter))
 	}
@@ -138,14 +147,42 @@
 	return s
 }
 
-func freePort(t *testing.T) string {
+const (
+	// firstPort and lastPort lie below the ports that systems give to
+	// connections, so that none is taken between the check and its use.
+	firstPort = 20_000
+	lastPort  = 30_000
+)
+
+var nextPort atomic.Int32
+
+// freePort returns a port that is free for TCP and UDP. Tests of other
+// processes start at another place of the range.
+func freePort(t testing.TB) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	start := int32(os.Getpid() * 97 % (lastPort - firstPort))
+	for range lastPort - firstPort {
+		port := firstPort + (start+nextPort.Add(1))%(lastPort-firstPort)
+		address := fmt.Sprintf("127.0.0.1:%d", port)
+		if bindable(address) {
+			return address
+		}
+	}
+	t.Fatal("no free port")
+	return ""
+}
+
+func bindable(address string) bool {
+	listener, err := net.Listen("tcp", address)
 	if err != nil {
-		t.Fatal(err)
+		return false
 	}
 	defer func() { _ = listener.Close() }()
-	return listener.Addr().String()
+	packets, err := net.ListenPacket("udp", address)
+	if err != nil {
+		return false
+	}
+	return packets.Close() == nil
 }
 
 func (f *testFleet) startRouter(s RouterSettings) {
@@ -268,6 +305,11 @@
 }
 
 func (f *testFleet) open(c chatRequest) *http.Response {
+	f.t.Helper()
+	return f.do(f.chatHTTP(c))
+}
+
+func (f *testFleet) chatHTTP(c chatRequest) *http.Request {
 	f.t.Helper()
 	body, err := json.Marshal(engineapi.ChatRequest{
 		Model: testModel, Messages: c.messages(), MaxTokens: c.maxTokens, Stream: true,
@@ -280,7 +322,7 @@
 	if c.lastEventID != "" {
 		request.Header.Set(router.HeaderLastEventID, c.lastEventID)
 	}
-	return f.do(request)
+	return request
 }
 
 func (f *testFleet) newRequest(routerName, method, path string, body []byte) *http.Request {
@@ -352,7 +394,7 @@
 }
 
 // wantWhole fails the test unless got is the whole answer to the request.
-func wantWhole(t *testing.T, c chatRequest, got received) {
+func wantWhole(t testing.TB, c chatRequest, got received) {
 	t.Helper()
 	want := engine.ExpectedAnswer(c.messages(), c.maxTokens)
 	if !got.whole || got.text != want {
@@ -370,7 +412,7 @@
 	return readEvents(response, 0)
 }
 
-func readRefusal(t *testing.T, response *http.Response) refusal.BodyError {
+func readRefusal(t testing.TB, response *http.Response) refusal.BodyError {
 	t.Helper()
 	var body refusal.Body
 	if err := json.NewDecoder(response.Body).Decode(&body); err != nil {
@@ -379,7 +421,7 @@
 	return body.Error
 }
 
-func newActionKey(t *testing.T) string {
+func newActionKey(t testing.TB) string {
 	t.Helper()
 	key, err := uuid.NewV7()
 	if err != nil {
--- a/internal/router/request.go
+++ b/internal/router/request.go
@@ -1,7 +1,6 @@
 package router
 
 import (
-	"context"
 	"io"
 	"net/http"
 	"os"
@@ -10,8 +9,6 @@
 
 	"github.com/google/uuid"
 	"github.com/pkg/errors"
-	"go.opentelemetry.io/otel"
-	"go.opentelemetry.io/otel/propagation"
 
 	"github.com/verbenatrail/verbenatrail/internal/fleet"
 	"github.com/verbenatrail/verbenatrail/internal/refusal"
@@ -88,6 +85,7 @@
 		size = s.settings.MaxBodyBytes
 	}
 	if size > s.settings.MaxBodyBytes {
+		closeAfterRefusal(w, r)
 		return nil, nil, s.bodyTooLarge()
 	}
 	if !s.bodies.TryAcquire(size) {
@@ -103,12 +101,24 @@
 	return body, release, nil
 }
 
+// closeAfterRefusal makes the server close the connection in the way that lets
+// the caller read the refusal while it still sends its body.
+func closeAfterRefusal(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("Connection", "close")
+	_, _ = http.MaxBytesReader(w, r.Body, 0).Read(make([]byte, 1))
+}
+
 func (s *Server) readWithin(w http.ResponseWriter, r *http.Request) ([]byte, error) {
 	controller := http.NewResponseController(w)
 	_ = controller.SetReadDeadline(time.Now().Add(s.settings.BodyTimeout.Std()))
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, s.settings.MaxBodyBytes))
+	if err != nil {
+		// Otherwise the server waits for the rest of the body before it answers.
+		w.Header().Set("Connection", "close")
+		return nil, err
+	}
 	_ = controller.SetReadDeadline(time.Time{})
-	return body, err
+	return body, nil
 }
 
 func (s *Server) bodyError(err error) *refusal.Refusal {
@@ -126,16 +136,3 @@
 	limit := strconv.FormatInt(s.settings.MaxBodyBytes, 10)
 	return refusal.New(refusal.BodyTooLarge, "the body exceeds "+limit+" bytes: shorten it")
 }
-
-// traceContext continues the caller's trace.
-func traceContext(r *http.Request) context.Context {
-	carrier := propagation.HeaderCarrier(r.Header)
-	return otel.GetTextMapPropagator().Extract(r.Context(), carrier)
-}
-
-// traceparent returns the header that continues the trace at the next hop.
-func traceparent(ctx context.Context) string {
-	carrier := propagation.MapCarrier{}
-	otel.GetTextMapPropagator().Inject(ctx, carrier)
-	return carrier.Get("traceparent")
-}
