--- a/internal/daemon/configuration_test.go
+++ b/internal/daemon/configuration_test.go
@@ -242,3 +242,18 @@
 	defer func() { _ = response.Body.Close() }()
 	return json.NewDecoder(response.Body).Decode(out) == nil
 }
+
+// TestRevisionTravelsWithRequests has a router learn of a revision from a request
+// of another, without datagrams and without the service.
+func TestRevisionTravelsWithRequests(t *testing.T) {
+	f := startFleet(t, fleetSize{routers: 2, engines: 1, instances: 1})
+	behind, ahead := f.routers["router-1"].router, f.routers["router-2"].router
+	before := behind.registry.Get("config.peer_announcements.messages").(interface{ Count() int64 }).Count()
+	behind.announced(ahead.settings.Name, behind.config.Revision()+1)
+	behind.announced("nobody", behind.config.Revision()+1)
+	behind.announced(ahead.settings.Name, behind.config.Revision())
+	after := behind.registry.Get("config.peer_announcements.messages").(interface{ Count() int64 }).Count()
+	if after != before+1 {
+		t.Fatal("announcements", before, after)
+	}
+}
--- a/internal/daemon/node.go
+++ b/internal/daemon/node.go
@@ -146,6 +146,16 @@
 	}
 }
 
+// announced notes the revision that a router placed a request under.
+func (n *node) announced(router string, revision uint64) {
+	if revision <= n.config.Revision() {
+		return
+	}
+	if sender, ok := n.cluster.View().Router(router); ok {
+		n.config.PeerAnnounced(sender.PeerAddress, revision)
+	}
+}
+
 func (n *node) sweepPool(ctx context.Context) error {
 	ticker := time.NewTicker(poolSweep)
 	defer ticker.Stop()
--- a/internal/daemon/router.go
+++ b/internal/daemon/router.go
@@ -78,7 +78,7 @@
 		MoveTo:   r.moveTo,
 		Registry: n.registry,
 	})
-	r.handler = &forward.Handler{Owner: r.owner, Config: n.config, Actions: holder}
+	r.handler = &forward.Handler{Owner: r.owner, Config: n.config, Actions: holder, Announced: n.announced}
 }
 
 // Run serves until the context ends, and then leaves gracefully: it announces
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -36,6 +36,9 @@
 	Owner   *owner.Owner
 	Config  ConfigServer
 	Actions ActionServer
+	// Announced is told of the configuration revision of a router that sent a
+	// request; nil means nobody is.
+	Announced func(router string, revision uint64)
 }
 
 // ServeStream implements peer.Handler.
@@ -60,7 +63,15 @@
 	cancel()
 }
 
+// announce reports the revision that the last router placed a request under.
+func (h *Handler) announce(via []string, revision uint64) {
+	if h.Announced != nil && len(via) > 0 {
+		h.Announced(via[len(via)-1], revision)
+	}
+}
+
 func (h *Handler) serveForward(ctx context.Context, request *peerpb.ForwardRequest, stream *peer.Stream) {
+	h.announce(request.GetVia(), request.GetConfigRevision())
 	events := &eventSender{stream: stream}
 	stop := events.keepNoticing(ctx)
 	defer stop()
@@ -77,6 +88,7 @@
 }
 
 func (h *Handler) serveAction(ctx context.Context, request *peerpb.ActionRequest, stream *peer.Stream) {
+	h.announce(request.GetVia(), request.GetConfigRevision())
 	events := &eventSender{stream: stream}
 	stop := events.keepNoticing(ctx)
 	defer stop()
