--- a/internal/daemon/configpage_test.go
+++ b/internal/daemon/configpage_test.go
@@ -33,6 +33,7 @@
 		"generated: `go test ./internal/daemon -run ConfigPage -update`.\n")
 	writeSettings(t, &page, "vt-router", DefaultRouterSettings())
 	writeSettings(t, &page, "vt-directory", DefaultDirectorySettings())
+	writeSettings(t, &page, "vt-steward", DefaultStewardSettings())
 	comparePage(t, configPage, page.String())
 }
 
--- a/internal/daemon/steward.go
+++ b/internal/daemon/steward.go
@@ -19,6 +19,7 @@
 
 const (
 	defaultStewardLease   = 10 * time.Second
+	minStewardLease       = 2 * time.Second
 	defaultClockAllowance = time.Second
 	defaultLoadsPerMinute = 30
 	defaultLoadBurst      = 2
@@ -27,18 +28,21 @@
 
 // StewardSettings are the settings of vt-steward.
 type StewardSettings struct {
+	// Name is the process's name, unique among stewards.
 	Name      string             `yaml:"name" validate:"required,max=64"`
 	Listen    StewardListen      `yaml:"listen"`
 	Platform  Platform           `yaml:"platform"`
 	Telemetry telemetry.Settings `yaml:"telemetry"`
 	// Lease is the time after which a silent holder is replaced, in whole
-	// seconds.
-	Lease settings.Duration `yaml:"lease" validate:"gte=2000000000"`
-	// ClockAllowance is the most by which clocks drift apart within a lease.
-	ClockAllowance settings.Duration `yaml:"clock_allowance" validate:"gt=0"`
-	// LoadsPerMinute and LoadBurst bound the loads of weights in the fleet.
+	// seconds, at least two.
+	Lease settings.Duration `yaml:"lease" validate:"gt=0"`
+	// ClockAllowance is the most by which clocks drift apart within a lease; less
+	// than half of it.
+	ClockAllowance settings.Duration `yaml:"clock_allowance" validate:"gt=0,ltfield=Lease"`
+	// LoadsPerMinute bounds the loads of weights in the whole fleet.
 	LoadsPerMinute float64 `yaml:"loads_per_minute" validate:"gt=0"`
-	LoadBurst      int     `yaml:"load_burst" validate:"gt=0"`
+	// LoadBurst is the number of loads that may follow one another at once.
+	LoadBurst int `yaml:"load_burst" validate:"gt=0"`
 }
 
 // StewardListen are the addresses that a steward serves.
@@ -75,6 +79,9 @@
 
 // NewSteward assembles a steward; Run starts it.
 func NewSteward(s StewardSettings, logger *logrus.Logger) (*Steward, error) {
+	if s.Lease.Std() < minStewardLease {
+		return nil, errors.Errorf("lease is under %v: raise it", minStewardLease)
+	}
 	if 2*s.ClockAllowance.Std() >= s.Lease.Std() {
 		return nil, errors.New("clock_allowance is half of lease or more: raise lease or lower clock_allowance")
 	}
--- a/internal/declare/declare_test.go
+++ b/internal/declare/declare_test.go
@@ -199,3 +199,19 @@
 		t.Fatal(d, err)
 	}
 }
+
+// TestExamples checks the declarations that the pages show.
+func TestExamples(t *testing.T) {
+	if _, err := Load("../../examples/declarations"); err != nil {
+		t.Fatal(err)
+	}
+	page, err := os.ReadFile("../../docs/OPERATORS.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, rest, _ := strings.Cut(string(page), "```yaml\n")
+	text, _, _ := strings.Cut(rest, "```")
+	if err := parse(t, text).Check(); err != nil {
+		t.Fatal(err)
+	}
+}
--- a/internal/orders/orders.go
+++ b/internal/orders/orders.go
@@ -113,6 +113,9 @@
 	// the whole fleet.
 	LoadsPerMinute float64
 	LoadBurst      int
+	// LoadPatience is how long a load whose order got no answer may go on before
+	// it is ordered again.
+	LoadPatience time.Duration
 	// MinBackoff and MaxBackoff bound the pause after failures of one engine.
 	MinBackoff, MaxBackoff time.Duration
 }
@@ -122,7 +125,7 @@
 	return Settings{
 		TakeoverPause: lease + 2*clockAllowance, LeaseMargin: clockAllowance,
 		ReadInterval: 10 * time.Second, ReadsPerSecond: 4,
-		LoadsPerMinute: 30, LoadBurst: 2,
+		LoadsPerMinute: 30, LoadBurst: 2, LoadPatience: 5 * time.Minute,
 		MinBackoff: time.Second, MaxBackoff: time.Minute,
 	}
 }
@@ -149,8 +152,10 @@
 	model string
 	// state is nil until it is read, and after a call without an answer.
 	state *engineapi.OrderState
-	// busy is set while a call is in progress.
-	busy bool
+	// busy is set while a call is in progress, and ordering when it is an order.
+	busy, ordering bool
+	// loadingUntil is when a load without an answer counts as failed.
+	loadingUntil time.Time
 	// raised is set when an order of this fence was answered.
 	raised   bool
 	failures int
@@ -204,6 +209,7 @@
 		known.state = nil
 		known.raised = false
 		known.readAt = now
+		known.loadingUntil = time.Time{}
 	}
 }
 
@@ -214,6 +220,9 @@
 		if known == nil {
 			known = &engine{}
 		}
+		if known.model != target.Model {
+			known.loadingUntil = time.Time{}
+		}
 		known.model = target.Model
 		next[target.Engine] = known
 	}
@@ -225,6 +234,9 @@
 	if known == nil {
 		return
 	}
+	if known.ordering {
+		known.loadingUntil = time.Time{}
+	}
 	known.busy = false
 	known.failures = 0
 	known.state = &e.State
@@ -235,6 +247,9 @@
 // refused resigns when the engine has seen a newer fence. Otherwise the state
 // is read again.
 func (m *Machine) refused(now time.Time, e Refused) []Effect {
+	if known := m.engines[e.Engine]; known != nil {
+		known.loadingUntil = time.Time{}
+	}
 	m.failed(now, e.Engine)
 	if !m.holding || e.State.Fence <= m.fence {
 		return nil
@@ -274,6 +289,7 @@
 			continue
 		}
 		known.busy = true
+		_, known.ordering = effect.(Send)
 		effects = append(effects, effect)
 	}
 	return effects
@@ -312,6 +328,9 @@
 	if !ok {
 		return nil, false
 	}
+	if order.Action == ActionLoad {
+		known.loadingUntil = now.Add(m.settings.LoadPatience)
+	}
 	order.Fence = m.fence
 	return Send{Engine: name, Order: order, Until: m.until.Add(-m.settings.LeaseMargin)}, true
 }
@@ -320,7 +339,8 @@
 // model it lacks, then away with others, then the fence alone.
 func (m *Machine) order(now time.Time, known *engine) (engineapi.Order, bool) {
 	if !slices.Contains(known.state.Models, known.model) {
-		return engineapi.Order{Action: ActionLoad, Model: known.model}, m.loads.take(now)
+		due := !now.Before(known.loadingUntil)
+		return engineapi.Order{Action: ActionLoad, Model: known.model}, due && m.loads.take(now)
 	}
 	for _, model := range known.state.Models {
 		if model != known.model {
--- a/internal/orders/orders_test.go
+++ b/internal/orders/orders_test.go
@@ -188,6 +188,37 @@
 	}
 }
 
+// TestSlowLoadIsOrderedOnce has an engine whose load outlasts the order's time
+// limit.
+func TestSlowLoadIsOrderedOnce(t *testing.T) {
+	m := New(DefaultSettings(lease, allowance), 1)
+	now := start
+	m.Step(now, Desired{[]Target{{"slow", "new"}}})
+	m.Step(now, Elected{Fence: 5, Until: now.Add(time.Hour)})
+	var loads []time.Duration
+	for range 1200 {
+		now = now.Add(500 * time.Millisecond)
+		effects := m.Step(now, Renewed{now.Add(time.Hour)})
+		if now.Sub(start) == 500*time.Millisecond {
+			effects = append(effects, Read{"slow"})
+		}
+		for _, effect := range effects {
+			switch effect := effect.(type) {
+			case Read:
+				m.Step(now, Answered{"slow", engineapi.OrderState{}})
+			case Send:
+				if effect.Order.Action == ActionLoad {
+					loads = append(loads, now.Sub(start))
+				}
+				m.Step(now, Failed{"slow"})
+			}
+		}
+	}
+	if len(loads) != 2 || loads[1]-loads[0] < 5*time.Minute {
+		t.Fatal("loads at", loads)
+	}
+}
+
 func TestFailedCallIsReadBackFirst(t *testing.T) {
 	r, m := newRig(Target{"checks", "new"})
 	m.Step(r.now, Elected{Fence: 5, Until: r.now.Add(time.Hour)})
