--- a/internal/configstore/committer_test.go
+++ b/internal/configstore/committer_test.go
@@ -188,6 +188,38 @@
 	}
 }
 
+// lateStore holds the first transaction back, reports its result as unknown, and
+// delivers it when told to.
+type lateStore struct {
+	kv.Store
+	held *kv.Txn
+}
+
+func (s *lateStore) Commit(ctx context.Context, txn kv.Txn) (kv.TxnResult, error) {
+	if s.held == nil {
+		s.held = &txn
+		return kv.TxnResult{}, kv.ErrResultUnknown
+	}
+	return s.Store.Commit(ctx, txn)
+}
+
+// TestLateWriteCommitsNothingTwice has a write arrive after its committer has sent
+// it again, and after another operator's commit.
+func TestLateWriteCommitsNothingTwice(t *testing.T) {
+	store := kvmem.New(kvmem.Options{})
+	late := &lateStore{Store: store}
+	c := NewCommitter(CommitterOptions{Store: late, Author: "ana", Sleep: func(context.Context, time.Duration) {}})
+	mustCommit(t, c, 0, engineChange("a", "1"))
+	mustCommit(t, committer(store, "bikash"), 1, engineChange("a", "2"))
+	result, err := store.Commit(context.Background(), *late.held)
+	if err != nil || result.Succeeded {
+		t.Fatal("a late write was applied", result, err)
+	}
+	if revision, got := zones(t, store); revision != 2 || got != "a=2" {
+		t.Fatal(revision, got)
+	}
+}
+
 // failingStore answers no read.
 type failingStore struct{ kv.Store }
 
--- a/internal/configstore/manager.go
+++ b/internal/configstore/manager.go
@@ -9,6 +9,7 @@
 
 	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
+	"golang.org/x/time/rate"
 
 	"github.com/verbenatrail/verbenatrail/internal/declare"
 	"github.com/verbenatrail/verbenatrail/internal/fleet"
@@ -26,6 +27,11 @@
 	// no watcher is left.
 	DefaultMemberPoll = 10 * time.Second
 
+	// wholeCopiesPerSecond and wholeCopyBurst bound the whole copies that a
+	// process serves to peers; a peer that gets none asks another.
+	wholeCopiesPerSecond = 1
+	wholeCopyBurst       = 4
+
 	tickInterval   = 100 * time.Millisecond
 	inboxSize      = 64
 	minWatchPause  = 200 * time.Millisecond
@@ -64,7 +70,9 @@
 	machine  *rollout.Machine
 	inbox    chan message
 	current  atomic.Pointer[view]
-	fetches  sync.WaitGroup
+	// whole limits the whole copies that are served.
+	whole   *rate.Limiter
+	fetches sync.WaitGroup
 }
 
 // message is an event with the content that it brings.
@@ -119,7 +127,8 @@
 	if options.Seed == 0 {
 		options.Seed = rand.Uint64()
 	}
-	m := &Manager{options: options, counters: newCounters(options.Registry), inbox: make(chan message, inboxSize)}
+	m := &Manager{options: options, counters: newCounters(options.Registry), inbox: make(chan message, inboxSize),
+		whole: rate.NewLimiter(wholeCopiesPerSecond, wholeCopyBurst)}
 	if options.Store != nil {
 		m.reader = &Reader{store: options.Store, bytes: m.counters.storeBytes}
 	}
@@ -179,7 +188,7 @@
 	if v == nil {
 		return &peerpb.ConfigResponse{}
 	}
-	response, err := v.answer(request.GetHaveRevision())
+	response, err := v.answer(request.GetHaveRevision(), m.whole.Allow)
 	if err != nil {
 		m.options.Logger.WithError(err).Error("configuration can't be served to a peer")
 		return &peerpb.ConfigResponse{}
--- a/internal/configstore/manager_test.go
+++ b/internal/configstore/manager_test.go
@@ -214,6 +214,7 @@
 }
 
 func TestServedChangesAndWhole(t *testing.T) {
+	allow := func() bool { return true }
 	v := newView(1, &declare.Declarations{}, nil)
 	for revision := uint64(2); revision <= 4; revision++ {
 		record := Record{Manifest: Manifest{Revision: revision}, Changes: []declare.Change{engineChange("a", fmt.Sprint(revision))}}
@@ -223,14 +224,17 @@
 		}
 		v = next
 	}
-	recent, err := v.answer(2)
+	recent, err := v.answer(2, allow)
 	if err != nil || len(recent.Changes) != 2 || len(recent.Full) != 0 {
 		t.Fatal(recent, err)
 	}
-	old, err := v.answer(0)
+	old, err := v.answer(0, allow)
 	if err != nil {
 		t.Fatal(err)
 	}
+	if busy, err := v.answer(0, func() bool { return false }); err != nil || busy.Full != nil {
+		t.Fatal("a whole copy beyond the rate", err)
+	}
 	whole, err := unpackCopy(old.Full)
 	if err != nil || whole.Revision != 4 || whole.Declarations.Engines[0].Labels["zone"] != "4" {
 		t.Fatal(whole, err)
--- a/internal/configstore/view.go
+++ b/internal/configstore/view.go
@@ -18,7 +18,7 @@
 	// servedRecords is the number of newest records kept for peers.
 	servedRecords = 256
 	// maxFullBytes bounds an unpacked whole copy.
-	maxFullBytes = 256 << 20
+	maxFullBytes = 32 << 20
 )
 
 // view is one revision in force with what peers may ask for. It is immutable.
@@ -67,8 +67,8 @@
 }
 
 // answer returns the changes after a revision, or a whole copy when they are
-// not kept.
-func (v *view) answer(have uint64) (*peerpb.ConfigResponse, error) {
+// not kept. When the peer has to wait for a whole copy, there is neither.
+func (v *view) answer(have uint64, mayPack func() bool) (*peerpb.ConfigResponse, error) {
 	response := &peerpb.ConfigResponse{Revision: v.snapshot.Revision}
 	if have >= v.snapshot.Revision {
 		return response, nil
@@ -81,6 +81,9 @@
 		}
 		return response, nil
 	}
+	if !mayPack() {
+		return response, nil
+	}
 	full, err := v.full()
 	response.Full = full
 	return response, err
--- a/internal/declare/declare_test.go
+++ b/internal/declare/declare_test.go
@@ -215,3 +215,24 @@
 		t.Fatal(err)
 	}
 }
+
+func FuzzParse(f *testing.F) {
+	f.Add(valid)
+	f.Add("workspaces: [{name: a, labels: {x: [1]}}]\nselectors: {}")
+	f.Add("engines: &a\n  - *a\n---\n? [x]\n: y")
+	f.Fuzz(func(t *testing.T, text string) {
+		source, err := Parse([]File{{Name: "a.yaml", Data: []byte(text)}})
+		if err != nil || source.Check() != nil {
+			return
+		}
+		snapshot, err := Compile(&source.Declarations, 1)
+		if err != nil {
+			t.Fatal("passed its check but doesn't compile:", err)
+		}
+		for name := range snapshot.Workspaces {
+			if len(snapshot.Grants[name]) == 0 {
+				t.Fatalf("workspace %q has no selector", name)
+			}
+		}
+	})
+}
--- a/internal/kv/etcdjson/etcdjson_test.go
+++ b/internal/kv/etcdjson/etcdjson_test.go
@@ -7,6 +7,8 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"net/http/httptrace"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -200,3 +202,31 @@
 		t.Fatal(got)
 	}
 }
+
+// FuzzAnswers feeds bodies of any kind: no call panics, and a write whose answer
+// can't be read isn't reported as refused.
+func FuzzAnswers(f *testing.F) {
+	f.Add(`{"header":{"revision":"9"},"kvs":[{"key":"YQ=="}],"succeeded":true}`)
+	f.Add(`{"result":{"ID":"1","TTL":"x"}}`)
+	f.Fuzz(func(t *testing.T, body string) {
+		store, err := New(Options{Endpoints: []string{"http://service"}, Transport: cannedTransport(body)})
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, _ = store.Get(context.Background(), "a")
+		_, _ = store.KeepAlive(context.Background(), 1)
+		if _, err := store.Commit(context.Background(), kv.Txn{}); err != nil && !errors.Is(err, kv.ErrResultUnknown) {
+			t.Fatal(err)
+		}
+	})
+}
+
+// cannedTransport answers each request with the same body.
+type cannedTransport string
+
+func (c cannedTransport) RoundTrip(r *http.Request) (*http.Response, error) {
+	if trace := httptrace.ContextClientTrace(r.Context()); trace != nil {
+		trace.GotConn(httptrace.GotConnInfo{})
+	}
+	return &http.Response{StatusCode: http.StatusOK, Body: io.NopCloser(strings.NewReader(string(c))), Request: r}, nil
+}
