--- a/internal/standin/engine/batch_test.go
+++ b/internal/standin/engine/batch_test.go
@@ -139,6 +139,21 @@
 	}
 }
 
+func TestLeavingEngineTakesWorkDuringTheGrace(t *testing.T) {
+	s, clock := manualEngine(func(c *Config) { c.LeaveGrace = time.Second })
+	s.Leave()
+	for _, tc := range []struct {
+		pass   time.Duration
+		refuse bool
+	}{{0, false}, {999 * time.Millisecond, false}, {time.Millisecond, true}} {
+		clock.Advance(tc.pass)
+		s.Leave()
+		if got := s.refusesNewWorkLocked(clock.Now()); got != tc.refuse || s.Drained() != tc.refuse {
+			t.Errorf("after %s more: refuses %v", tc.pass, got)
+		}
+	}
+}
+
 func TestFrozenAndSlowEngine(t *testing.T) {
 	s, clock := manualEngine(func(c *Config) { c.PrefillPerToken = 0 })
 	st := submit(s, fleet.PriorityNormal, 100, "a")
--- a/internal/standin/engine/server_test.go
+++ b/internal/standin/engine/server_test.go
@@ -301,7 +301,8 @@
 }
 
 func TestLoadOrderReadsTheWeightStore(t *testing.T) {
-	store := httptest.NewServer(weights.New(weights.Config{LoadsPerMinute: 1, Burst: 1, SizeBytes: 10}))
+	weightServer := weights.New(weights.Config{LoadsPerMinute: 1, Burst: 1, SizeBytes: 10})
+	store := httptest.NewServer(weightServer)
 	defer store.Close()
 	f := newFixture(t, func(c *Config) { c.Models, c.WeightStore = []string{"a"}, store.URL })
 	for i, want := range []int{http.StatusOK, http.StatusServiceUnavailable} {
@@ -311,6 +312,13 @@
 			t.Fatalf("load %d: status %d", i, resp.StatusCode)
 		}
 	}
+	old := engineapi.Order{Fence: 0, Action: actionLoad, Model: "old"}
+	if resp := f.send(http.MethodPost, engineapi.PathOrders, "", old); resp.StatusCode != http.StatusConflict {
+		t.Fatalf("old fence: status %d", resp.StatusCode)
+	}
+	if state := weightServer.State(); state.Served != 1 || state.RateLimited != 1 {
+		t.Fatalf("an order with an old fence reached the store: %+v", state)
+	}
 	if models := f.server.orderState().Models; strings.Join(models, " ") != "a m0" {
 		t.Fatalf("models %v", models)
 	}
--- a/internal/standin/kvserver/server_test.go
+++ b/internal/standin/kvserver/server_test.go
@@ -156,6 +156,19 @@
 	}
 }
 
+func TestKeyLeavesItsLeaseWhenItIsWrittenAgain(t *testing.T) {
+	f := newFixture(t, nil)
+	var granted leaseResponse
+	f.call("/v3/lease/grant", map[string]any{"TTL": 10}, &granted)
+	f.put("kept", "v", granted.ID)
+	f.put("kept", "v", 0)
+	f.put("gone", "v", granted.ID)
+	f.server.Act(Action{ExpireAllLeases: true})
+	if f.get("kept") == nil || f.get("gone") != nil || f.server.State().LeasesExpired != 1 {
+		t.Fatalf("kept %v, gone %v", f.get("kept"), f.get("gone"))
+	}
+}
+
 func TestRatesRefuseCalls(t *testing.T) {
 	f := newFixture(t, func(c *Config) { c.WritesPerSecond, c.ReadsPerSecond = 3, 2 })
 	for range 3 {
