Stand-ins: a state that follows the faults can't stick at an older change

Cause: each change of faults passed its own value on after its lock was released. Of two concurrent changes the older could be passed on last, so an engine stayed frozen although the fault was off. The new test failed on it with -race; without -race 300,000 rounds didn't show it. Change: the receiver reads the present faults under its own lock.

--- a/internal/standin/engine/faults.go
+++ b/internal/standin/engine/faults.go
@@ -106,9 +106,10 @@
 	return time.Duration(n) * time.Millisecond
 }
 
-func (s *Server) faultsChanged(f Faults) {
+func (s *Server) faultsChanged() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	f := s.Faults.Get()
 	switch {
 	case f.Frozen && s.thawed == nil:
 		s.thawed = make(chan struct{})
--- a/internal/standin/engine/server_test.go
+++ b/internal/standin/engine/server_test.go
@@ -9,6 +9,7 @@
 	"net/http/httptest"
 	"strconv"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -357,6 +358,20 @@
 	}
 }
 
+func TestFreezeFollowsTheLastChangeOfFaults(t *testing.T) {
+	s := New(DefaultConfig())
+	for range 20_000 {
+		s.Faults.Update(func(v *Faults) { v.Frozen = true })
+		var group sync.WaitGroup
+		group.Go(func() { s.Faults.Update(func(v *Faults) { v.DuplicateChunks++ }) })
+		group.Go(func() { s.Faults.Update(func(v *Faults) { v.Frozen = false }) })
+		group.Wait()
+		if s.thawed != nil {
+			t.Fatal("still frozen")
+		}
+	}
+}
+
 func TestInvalidRequests(t *testing.T) {
 	f := newFixture(t, func(c *Config) { c.Models = []string{"m"} })
 	for _, tc := range []struct {
--- a/internal/standin/hostserver/server.go
+++ b/internal/standin/hostserver/server.go
@@ -187,9 +187,10 @@
 }
 
 // faultsChanged keeps the visible list when the fault Frozen is set.
-func (s *Server) faultsChanged(f Faults) {
+func (s *Server) faultsChanged() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	f := s.Faults.Get()
 	switch {
 	case !f.Frozen:
 		s.frozen = nil
--- a/internal/standin/http.go
+++ b/internal/standin/http.go
@@ -73,8 +73,9 @@
 
 // Switch holds the faults of a stand-in. It is safe for concurrent use.
 type Switch[T any] struct {
-	// OnChange, if set, is called with the new faults after each change.
-	OnChange func(T)
+	// OnChange, if set, is called after each change, without a lock. Calls of
+	// concurrent changes may come in any order, so it reads the faults anew.
+	OnChange func()
 
 	mu    sync.Mutex
 	value T
@@ -91,10 +92,9 @@
 func (s *Switch[T]) Update(change func(*T)) {
 	s.mu.Lock()
 	change(&s.value)
-	value := s.value
 	s.mu.Unlock()
 	if s.OnChange != nil {
-		s.OnChange(value)
+		s.OnChange()
 	}
 }
 
--- a/internal/standin/kvserver/faults.go
+++ b/internal/standin/kvserver/faults.go
@@ -64,12 +64,13 @@
 }
 
 // faultsChanged ends the watches when an outage begins.
-func (s *Server) faultsChanged(f Faults) {
+func (s *Server) faultsChanged() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f := s.Faults.Get()
 	if f.Outage == standin.OutageNone {
 		return
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
 	s.endWatchesLocked()
 }
 
