--- a/internal/standin/engine/swap.go
+++ b/internal/standin/engine/swap.go
@@ -9,7 +9,7 @@
 )
 
 // swapTimeout is how long a chunk waits for one of another stream.
-const swapTimeout = time.Second
+const swapTimeout = 200 * time.Millisecond
 
 // exchanger swaps values between two streams.
 type exchanger[T any] struct {
