Key-value stand-in: a delayed call is applied after its caller gave up

A caller that timed out during a delay was sure that nothing happened, which a slow service doesn't promise. Now the call runs when its delay is over.

--- a/internal/standin/kvserver/server.go
+++ b/internal/standin/kvserver/server.go
@@ -4,6 +4,7 @@
 package kvserver
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"sync"
@@ -83,6 +84,9 @@
 	clock  standin.Clock
 	limits limits
 	mux    *http.ServeMux
+	// life ends with Close.
+	life context.Context
+	end  context.CancelFunc
 
 	mu    sync.Mutex
 	store *store
@@ -96,7 +100,10 @@
 
 // New returns an empty service.
 func New(cfg Config) *Server {
+	life, end := context.WithCancel(context.Background())
 	s := &Server{
+		life:         life,
+		end:          end,
 		clock:        standin.ClockOrSystem(cfg.Clock),
 		limits:       newLimits(cfg.WritesPerSecond, cfg.ReadsPerSecond),
 		mux:          http.NewServeMux(),
@@ -114,8 +121,9 @@
 	s.mux.ServeHTTP(w, r)
 }
 
-// Close stops the timer of the leases and ends the watches.
+// Close stops the timer of the leases, and ends the watches and delayed calls.
 func (s *Server) Close() {
+	s.end()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.endWatchesLocked()
@@ -174,7 +182,8 @@
 		faults.Outage.Apply(w)
 		return false
 	}
-	if standin.Sleep(r.Context(), s.clock, faults.delay()) != nil {
+	// A slow call is applied even when its caller has given up meanwhile.
+	if standin.Sleep(s.life, s.clock, faults.delay()) != nil {
 		return false
 	}
 	return s.admitRate(w, isWrite())
--- a/internal/standin/kvserver/server_test.go
+++ b/internal/standin/kvserver/server_test.go
@@ -3,9 +3,11 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"encoding/json"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -215,6 +217,43 @@
 	}
 }
 
+func TestDelayedWriteIsAppliedAfterItsCallerGaveUp(t *testing.T) {
+	f := newFixture(t, nil)
+	f.server.Faults.Update(func(v *Faults) { v.DelayMS = 1_000 })
+	ctx, cancel := context.WithCancel(context.Background())
+	body := strings.NewReader(`{"key":"` + b64("k") + `"}`)
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, f.url+"/v3/kv/put", body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	gaveUp := make(chan error)
+	go func() {
+		resp, err := f.client.Do(req)
+		if err == nil {
+			_ = resp.Body.Close()
+		}
+		gaveUp <- err
+	}()
+	for f.clock.Pending() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	cancel()
+	if err := <-gaveUp; err == nil {
+		t.Fatal("answered before the delay")
+	}
+	f.server.Faults.Update(func(v *Faults) { v.DelayMS = 0 })
+	if f.get("k") != nil {
+		t.Fatal("applied too early")
+	}
+	f.clock.Advance(time.Second)
+	for f.server.State().Calls.Put == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	if f.get("k") == nil {
+		t.Fatal("not applied")
+	}
+}
+
 func TestOutageAppliesNothing(t *testing.T) {
 	f := newFixture(t, nil)
 	for outage, want := range map[standin.Outage]int{
