Relay: only chats of a sticky strategy are remembered

The memory put remembered engines in front for the baseline strategies too, which made random and modulo look sticky in a replay, and calls of plain services, each under a key of its own, pushed chats out of it.

--- a/internal/placement/strategies.go
+++ b/internal/placement/strategies.go
@@ -1,5 +1,12 @@
 package placement
 
+// Sticky reports whether a strategy wants later turns of a chat to go where
+// earlier ones ran; the others are baselines without a memory.
+func Sticky(s Strategy) bool {
+	_, ok := s.(Rendezvous)
+	return ok
+}
+
 // Rendezvous ranks by weighted rendezvous hashing: removing a candidate moves
 // only the chats that it held.
 type Rendezvous struct{}
--- a/internal/relay/plan.go
+++ b/internal/relay/plan.go
@@ -19,6 +19,8 @@
 	Cached int
 	// Key identifies the chat to the memory of chats.
 	Key uint64
+	// Returns is set when later turns of the chat go where earlier ones ran.
+	Returns bool
 	// Revision is the configuration that the plan was made under.
 	Revision uint64
 }
@@ -68,13 +70,19 @@
 			"every upstream admitted for "+target+" is leaving or down: retry later").
 			WithRetryAfter(retryAfterNoUpstream)
 	}
-	plan := Plan{Ranked: p.rank(affinity, candidates), Key: placement.Key(affinity), Revision: snapshot.Revision}
+	plan := Plan{
+		Ranked: p.rank(affinity, candidates), Key: placement.Key(affinity),
+		Returns: kind == fleet.KindEngine && placement.Sticky(p.strategy), Revision: snapshot.Revision,
+	}
 	plan.Cached = p.promote(plan)
 	return plan, nil
 }
 
 // promote moves the upstreams that ran the chat lately to the front.
 func (p *Planner) promote(plan Plan) int {
+	if !plan.Returns {
+		return 0
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	places, known := p.memory.Recall(plan.Key)
@@ -86,6 +94,9 @@
 
 // Remember records that an upstream runs a turn of the chat.
 func (p *Planner) Remember(plan Plan, upstream string) {
+	if !plan.Returns {
+		return
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.memory.Remember(plan.Key, upstream)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -110,7 +110,7 @@
 // Resume passes on the rest of a chat's answer after a position that the
 // caller received.
 func (r *Relay) Resume(ctx context.Context, call Call, after Position, answer Answer) *refusal.Refusal {
-	plan := Plan{Key: placement.Key(call.Affinity)}
+	plan := Plan{Key: placement.Key(call.Affinity), Returns: placement.Sticky(r.Planner.strategy)}
 	session := &session{relay: r, call: call, plan: plan, answer: answer, resumeOnly: true}
 	session.progress.tokens = after.Index + 1
 	session.progress.stream = after
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -234,3 +234,27 @@
 		}
 	})
 }
+
+func TestOnlyChatsOfAStickyStrategyAreRemembered(t *testing.T) {
+	view := testView()
+	for _, c := range []struct {
+		strategy placement.Strategy
+		kind     fleet.UpstreamKind
+		cached   int
+	}{
+		{placement.Rendezvous{}, fleet.KindEngine, 1},
+		{placement.Modulo{}, fleet.KindEngine, 0},
+		{placement.Rendezvous{}, fleet.KindService, 0},
+	} {
+		snapshot := testSnapshot()
+		snapshot.Services = map[string]*fleet.Service{"m": {Name: "m"}}
+		planner := NewPlanner(func() *fleet.Snapshot { return snapshot }, func() *cluster.View { return view },
+			func(string) bool { return false }, c.strategy, 10)
+		plan, _ := planner.Plan("w", "m", "w/c", c.kind)
+		planner.Remember(plan, "engine-3")
+		again, refused := planner.Plan("w", "m", "w/c", c.kind)
+		if refused != nil || again.Cached != c.cached {
+			t.Errorf("%T, kind %d: %d cached, want %d", c.strategy, c.kind, again.Cached, c.cached)
+		}
+	}
+}
