Averaging: loads themselves are exchanged up to 24 routers

At 16 routers the result of an epoch was up to two epochs old. Loads that are heard directly are fresher there. Routers that weren't heard yet are taken to be like the others, not idle.

--- a/internal/averaging/averaging.go
+++ b/internal/averaging/averaging.go
@@ -34,7 +34,7 @@
 
 // DirectHosts is the number of routers up to which loads are exchanged
 // themselves.
-const DirectHosts = 8
+const DirectHosts = 24
 
 // Averager is the state of one router. It is not safe for concurrent use.
 type Averager struct {
--- a/internal/averaging/loadtable.go
+++ b/internal/averaging/loadtable.go
@@ -9,8 +9,8 @@
 
 func (t *loadTable) hear(from string, list []PoolLoad) { t.heard[from] = loadsOf(list) }
 
-// means averages over the hosts; those that were never heard count as idle.
-// Hosts that aren't named are forgotten.
+// means averages over the hosts that were heard and this one; the others are
+// taken to be like these. Hosts that aren't named are forgotten.
 func (t *loadTable) means(self string, local loads, hosts []string) loads {
 	sum := local.clone()
 	kept := make(map[string]loads, len(hosts))
@@ -22,6 +22,6 @@
 	}
 	t.heard = kept
 	out := make(loads, len(sum))
-	out.addScaled(sum, 1/float64(max(len(hosts), 1)))
+	out.addScaled(sum, 1/float64(len(kept)+1))
 	return out
 }
