--- a/internal/cluster/cluster_test.go
+++ b/internal/cluster/cluster_test.go
@@ -1,6 +1,7 @@
 package cluster
 
 import (
+	"compress/gzip"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -28,6 +29,7 @@
 // platform serves a host list that tests change.
 type platform struct {
 	mu     sync.Mutex
+	zip    bool // compresses the list
 	hosts  []hostlist.Host
 	server *httptest.Server
 }
@@ -48,7 +50,14 @@
 		return
 	}
 	w.Header().Set("ETag", etag)
-	_ = json.NewEncoder(w).Encode(hostlist.List{Hosts: p.hosts})
+	if r.Header.Get("Accept-Encoding") != "gzip" || !p.zip {
+		_ = json.NewEncoder(w).Encode(hostlist.List{Hosts: p.hosts})
+		return
+	}
+	w.Header().Set("Content-Encoding", "gzip")
+	zipped := gzip.NewWriter(w)
+	_ = json.NewEncoder(zipped).Encode(hostlist.List{Hosts: p.hosts})
+	_ = zipped.Close()
 }
 
 func (p *platform) add(h hostlist.Host) {
@@ -186,6 +195,31 @@
 	a.eventually(t, "the other leaves", func(v *View) bool { return len(v.Owners) == 1 && len(v.Routers) == 2 })
 }
 
+func TestListIsReadZippedAndOnlyWhenChanged(t *testing.T) {
+	p := newPlatform(t)
+	p.zip = true
+	for i := range 50 {
+		p.add(routerHost(i))
+	}
+	poller := newListPoller(Options{HostListURL: p.server.URL, Settings: DefaultSettings()})
+	defer poller.client.CloseIdleConnections()
+	first := poller.poll(t.Context())
+	if first.err != nil || len(first.hosts) != 50 || first.bytes > 1500 {
+		t.Fatalf("%d hosts in %d bytes, %v", len(first.hosts), first.bytes, first.err)
+	}
+	if again := poller.poll(t.Context()); again.err != nil || again.hosts != nil {
+		t.Fatalf("got %+v", again)
+	}
+	p.add(routerHost(50))
+	if changed := poller.poll(t.Context()); len(changed.hosts) != 51 {
+		t.Fatalf("%d hosts, %v", len(changed.hosts), changed.err)
+	}
+}
+
+func routerHost(i int) hostlist.Host {
+	return hostlist.Host{Name: fmt.Sprintf("router-%03d", i), Kind: hostlist.KindRouter, State: hostlist.StateLive}
+}
+
 func TestTakenPortIsReported(t *testing.T) {
 	if _, err := New(Options{Self: hostlist.Host{PeerAddress: "nowhere"}}); err == nil {
 		t.Fatal("no error")
--- a/internal/cluster/listpoller.go
+++ b/internal/cluster/listpoller.go
@@ -1,6 +1,7 @@
 package cluster
 
 import (
+	"compress/gzip"
 	"context"
 	"encoding/json"
 	"io"
@@ -111,6 +112,8 @@
 
 func (p *listPoller) request(ctx context.Context) (*http.Request, error) {
 	s := sling.New().Get(p.url).Path(hostlist.Path).QueryStruct(pollQuery{Poller: p.self})
+	// Set here instead of by the transport, so that the bytes on the wire count.
+	s = s.Set("Accept-Encoding", "gzip")
 	if p.etag != "" {
 		s = s.Set("If-None-Match", p.etag)
 	}
@@ -125,22 +128,45 @@
 	if response.StatusCode == http.StatusNotModified {
 		return listResult{bytes: pollOverhead}
 	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxListBytes))
-	result := listResult{bytes: pollOverhead + len(body)}
+	counted := &countingReader{reader: response.Body}
+	hosts, err := readList(response, counted)
+	result := listResult{hosts: hosts, bytes: pollOverhead + counted.bytes}
 	if err != nil {
 		result.err = errors.Wrap(ErrListUnavailable, err.Error())
 		return result
 	}
+	p.etag = response.Header.Get("ETag")
+	return result
+}
+
+// readList decodes the hosts of an answer whose body is given.
+func readList(response *http.Response, body io.Reader) ([]hostlist.Host, error) {
 	if response.StatusCode != http.StatusOK {
-		result.err = errors.Wrapf(ErrListUnavailable, "status %d", response.StatusCode)
-		return result
+		return nil, errors.Errorf("status %d", response.StatusCode)
+	}
+	if response.Header.Get("Content-Encoding") == "gzip" {
+		unzipped, err := gzip.NewReader(body)
+		if err != nil {
+			return nil, err
+		}
+		body = unzipped
 	}
 	var list hostlist.List
-	if err := json.Unmarshal(body, &list); err != nil {
-		result.err = errors.Wrap(ErrListUnavailable, err.Error())
-		return result
+	if err := json.NewDecoder(io.LimitReader(body, maxListBytes)).Decode(&list); err != nil {
+		return nil, err
 	}
-	p.etag = response.Header.Get("ETag")
-	result.hosts = list.Hosts
-	return result
+	return list.Hosts, nil
+}
+
+// countingReader counts the bytes that pass.
+type countingReader struct {
+	reader io.Reader
+	bytes  int
+}
+
+// Read implements io.Reader.
+func (c *countingReader) Read(p []byte) (int, error) {
+	n, err := c.reader.Read(p)
+	c.bytes += n
+	return n, err
 }
