--- a/Makefile
+++ b/Makefile
@@ -33,6 +33,10 @@
 	$(BIN)/vt-replay generate --profile shrestha --seed 1 --out traces/shrestha.jsonl
 	$(BIN)/vt-replay generate --profile litoral --seed 2 --out traces/litoral.jsonl
 
+# Replays the Shrestha trace against a whole fleet on loopback; under two minutes.
+demo: build
+	@scripts/demo.sh traces/shrestha.jsonl out/demo
+
 # Measures the slopes of docs/CAPACITY.md; about ten minutes. SEED and CASES
 # choose the load and the cases.
 capacity: build
--- a/internal/trace/shrestha.go
+++ b/internal/trace/shrestha.go
@@ -25,13 +25,13 @@
 		},
 		Workspaces: shresthaWorkspaces(),
 		Selectors: []Selector{
-			{Name: "assistant", Workspaces: map[string]string{"customer": "contractor"}, Upstreams: assistant},
-			{Name: "booking", Workspaces: map[string]string{"customer": "contractor"}, Upstreams: booking},
+			{Name: "assistant", Models: []string{"assistant"}, Workspaces: map[string]string{"customer": "contractor"}, Upstreams: assistant},
+			{Name: "booking", Services: []string{"booking"}, Workspaces: map[string]string{"customer": "contractor"}, Upstreams: booking},
 		},
 		Chats: ChatProfile{
 			Model: "assistant", FirstWordsMin: 200, FirstWordsMax: 900,
-			NextWordsMin: 10, NextWordsMax: 60, AnswerMin: 10, AnswerMax: 50,
-			ReturnShare: 0.7, PauseMinMS: 2000, TimeoutMS: 20000,
+			NextWordsMin: 10, NextWordsMax: 60, AnswerMin: 100, AnswerMax: 300,
+			ReturnShare: 0.7, PauseMinMS: 5000, TimeoutMS: 20000,
 		},
 		Calls: []CallProfile{
 			{Service: "booking", Method: "POST", Path: "/confirmations", Action: true, Share: 0.4, ResendShare: 0.3},
