Ownership: an upstream's owner is in its region where a router is

Owners were drawn from all routers. When regions lose each other, half of the engines would have had an owner that couldn't reach them, and its failed connections would have held them down for all. Claim slots stay global, as the key-value service decides about them.

--- a/internal/actions/actions.go
+++ b/internal/actions/actions.go
@@ -90,8 +90,7 @@
 // holders returns the routers to ask, the computed holder first.
 func (r *Runner) holders(key uuid.UUID) []string {
 	slot := claims.SlotName(r.slotOf(key))
-	names := relay.RouterNames(r.view(), nil)
-	return placement.OwnersInOrder(slot, names, maxHolders)
+	return placement.OwnersInOrder(slot, r.view().Owners, maxHolders)
 }
 
 func (r *Runner) ask(ctx context.Context, name string, request *peerpb.ActionRequest) (*peerpb.ActionResult, error) {
--- a/internal/cluster/cluster_test.go
+++ b/internal/cluster/cluster_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -266,3 +267,30 @@
 		t.Fatalf("%d of %d pieces of news read back", got, fitted)
 	}
 }
+
+func TestOwnersAreInTheRegionOfTheUpstream(t *testing.T) {
+	v := &View{Upstreams: map[string]UpstreamView{"engine": {Region: "litoral"}, "elsewhere": {Region: "none"}}}
+	for i, region := range []string{"bagmati", "litoral", "bagmati", "litoral"} {
+		name := fmt.Sprint("router-", i)
+		v.Routers = append(v.Routers, RouterView{Name: name, Region: region})
+		v.Owners = append(v.Owners, name)
+	}
+	v.regionOwners = ownersByRegion(v.Routers, v.Owners)
+	order := v.OwnersInOrder("engine", 4)
+	near := []string{"router-1", "router-3"}
+	if len(order) != 4 || !slices.Contains(near, order[0]) || !slices.Contains(near, order[1]) {
+		t.Fatalf("got %v", order)
+	}
+	if owner, ok := v.Owner("engine", nil); !ok || owner != order[0] {
+		t.Fatalf("got %q", owner)
+	}
+	if owner, ok := v.Owner("engine", near); !ok || owner != order[2] {
+		t.Fatalf("got %q", owner)
+	}
+	if owner, ok := v.Owner("elsewhere", nil); !ok || owner == "" {
+		t.Fatal("no owner for an upstream of a region without routers")
+	}
+	if _, ok := v.Owner("engine", v.Owners); ok {
+		t.Fatal("owner although all are excepted")
+	}
+}
--- a/internal/cluster/loop.go
+++ b/internal/cluster/loop.go
@@ -197,6 +197,7 @@
 	v.Listed = l.listed
 	v.Routers = routerViews(l.members.Routers(now))
 	v.Owners = ownerNames(v.Routers)
+	v.regionOwners = ownersByRegion(v.Routers, v.Owners)
 	v.Upstreams = upstreamViews(l.members.Upstreams(now))
 	l.gauge("routers").Update(int64(len(v.Routers)))
 	l.gauge("upstreams").Update(int64(len(v.Upstreams)))
--- a/internal/cluster/view.go
+++ b/internal/cluster/view.go
@@ -1,8 +1,11 @@
 package cluster
 
 import (
+	"slices"
+
 	"github.com/verbenatrail/verbenatrail/internal/hostlist"
 	"github.com/verbenatrail/verbenatrail/internal/membership"
+	"github.com/verbenatrail/verbenatrail/internal/placement"
 )
 
 // RouterView is a router in use.
@@ -62,6 +65,63 @@
 	PoolMeans map[uint32]float64
 	// Newest is the highest revision that any daemon announced.
 	Newest PeerRevision
+	// regionOwners are the Owners by region.
+	regionOwners map[string][]string
+}
+
+// Owner returns the router that owns an upstream: one in the upstream's region
+// where there is one, so that a region that is cut off still serves its own
+// engines. Routers in except are passed over; false when none is left. A name
+// that is no upstream belongs to any region.
+func (v *View) Owner(upstream string, except []string) (string, bool) {
+	if owner, ok := placement.Owner(upstream, without(v.nearOwners(upstream), except)); ok {
+		return owner, true
+	}
+	return placement.Owner(upstream, without(v.Owners, except))
+}
+
+// OwnersInOrder returns the first n routers in the order in which they would
+// own an upstream if those before them failed.
+func (v *View) OwnersInOrder(upstream string, n int) []string {
+	near := v.nearOwners(upstream)
+	order := placement.OwnersInOrder(upstream, near, n)
+	if len(order) == n || len(near) == len(v.Owners) {
+		return order
+	}
+	return append(order, placement.OwnersInOrder(upstream, without(v.Owners, near), n-len(order))...)
+}
+
+// nearOwners returns the owners in an upstream's region, or all.
+func (v *View) nearOwners(upstream string) []string {
+	near := v.regionOwners[v.Upstreams[upstream].Region]
+	if len(near) == 0 {
+		return v.Owners
+	}
+	return near
+}
+
+func without(names, except []string) []string {
+	if len(except) == 0 {
+		return names
+	}
+	out := make([]string, 0, len(names))
+	for _, name := range names {
+		if !slices.Contains(except, name) {
+			out = append(out, name)
+		}
+	}
+	return out
+}
+
+// ownersByRegion groups the owners by the region of their router.
+func ownersByRegion(routers []RouterView, owners []string) map[string][]string {
+	out := make(map[string][]string)
+	for _, r := range routers {
+		if slices.Contains(owners, r.Name) {
+			out[r.Region] = append(out[r.Region], r.Name)
+		}
+	}
+	return out
 }
 
 // PoolLoad returns the requests in flight in a pool over all routers.
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -11,7 +11,6 @@
 
 	"github.com/verbenatrail/verbenatrail/internal/cluster"
 	"github.com/verbenatrail/verbenatrail/internal/fleet"
-	"github.com/verbenatrail/verbenatrail/internal/placement"
 	"github.com/verbenatrail/verbenatrail/internal/refusal"
 	"github.com/verbenatrail/verbenatrail/internal/relay"
 )
@@ -108,7 +107,7 @@
 
 func (d *Directory) routersFor(name string, revision uint64) (*Answer, *refusal.Refusal) {
 	view := d.view()
-	owners := placement.OwnersInOrder(name, relay.RouterNames(view, nil), alternateCount+1)
+	owners := view.OwnersInOrder(name, alternateCount+1)
 	if len(owners) == 0 {
 		return nil, refusal.New(refusal.OwnerUnreachable, "no router is known to be live: retry after the given time").
 			WithRetryAfter(retryAfter)
--- a/internal/owner/gateset.go
+++ b/internal/owner/gateset.go
@@ -7,7 +7,6 @@
 
 	"github.com/verbenatrail/verbenatrail/internal/cluster"
 	"github.com/verbenatrail/verbenatrail/internal/fleet"
-	"github.com/verbenatrail/verbenatrail/internal/placement"
 )
 
 // gateSet holds the gates of all upstreams that this router has served.
@@ -58,7 +57,7 @@
 	}
 	s.topology = view.Topology
 	for _, g := range s.gates {
-		name, _ := placement.Owner(g.name, view.Owners)
+		name, _ := view.Owner(g.name, nil)
 		owned := name == s.options.Self
 		if owned && !g.owned {
 			s.overlaps = append(s.overlaps, g)
--- a/internal/relay/session.go
+++ b/internal/relay/session.go
@@ -108,8 +108,7 @@
 
 func (s *session) withOwner(a attempt) (attempt, *refusal.Refusal) {
 	view := s.relay.View()
-	names := RouterNames(view, s.unreachable)
-	owner, ok := placement.Owner(a.ask.Upstream, names)
+	owner, ok := view.Owner(a.ask.Upstream, s.unreachable)
 	if !ok || len(s.unreachable) > maxUnreachable {
 		return a, s.giveUp(refusal.OwnerUnreachable, "no router can be reached for the upstream: retry later", retryAfterNoUpstream)
 	}
@@ -117,20 +116,6 @@
 	return a, nil
 }
 
-// RouterNames returns the routers that may own upstreams, without some.
-func RouterNames(view *cluster.View, except []string) []string {
-	if len(except) == 0 {
-		return view.Owners
-	}
-	names := make([]string, 0, len(view.Owners))
-	for _, name := range view.Owners {
-		if !contains(except, name) {
-			names = append(names, name)
-		}
-	}
-	return names
-}
-
 func (s *session) try(ctx context.Context, a attempt) error {
 	request := s.request(a)
 	receiver := &receiver{session: s, attempt: a}
