Membership: failures seen across regions are kept private

After regions had lost each other, news of the connections that failed in between would have held down engines that their own region still served.

--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -265,6 +265,33 @@
 	}
 }
 
+func TestFailuresAcrossRegionsAreKeptPrivate(t *testing.T) {
+	near, far := routerHost(0), routerHost(1)
+	near.Region, far.Region = "bagmati", "litoral"
+	engine := engineHost(hostlist.StateLive)
+	engine.Region = "litoral"
+	m := New(Options{Self: near, Settings: DefaultSettings()})
+	m.HearList(at(0), []hostlist.Host{near, far, engine})
+	m.ReportUpstream(at(0), "engine", ConnRefused)
+	if got := m.Upstreams(at(0))[0].Condition; got != Suspect {
+		t.Fatalf("got %v", got)
+	}
+	for _, n := range m.TakeNews(far.Name, 8) {
+		if n.Upstream {
+			t.Fatalf("passed on %+v", n)
+		}
+	}
+	m.Tick(at(2 * time.Second))
+	if u := m.upstreams["engine"]; u.version != 0 || u.condition != Alive {
+		t.Fatalf("version %d, %v", u.version, u.condition)
+	}
+	m.HearList(at(3*time.Second), []hostlist.Host{near, engine})
+	m.ReportUpstream(at(3*time.Second), "engine", ConnRefused)
+	if u := m.upstreams["engine"]; u.version != 1 {
+		t.Fatalf("version %d without a router in the region", u.version)
+	}
+}
+
 func TestEmptyListIsIgnored(t *testing.T) {
 	g := newGroup(3, 4)
 	g.nodes[0].HearList(g.now, nil)
--- a/internal/membership/upstream.go
+++ b/internal/membership/upstream.go
@@ -19,6 +19,9 @@
 	hold          holdDown
 	// broken counts connections that broke or went silent since one was good.
 	broken int
+	// private is set while the condition is this daemon's own finding that it
+	// doesn't pass on.
+	private bool
 	// reported is the condition that the last effect told.
 	reported Condition
 }
@@ -114,22 +117,42 @@
 	}
 }
 
-// changeUpstream records this daemon's own finding and passes it on. Repeated
-// findings within a hold-down count once.
+// changeUpstream records this daemon's own finding and passes it on if it may.
+// Repeated findings within a hold-down count once.
 func (m *Members) changeUpstream(now time.Time, u *upstream, c Condition) []Effect {
 	if u.condition == Leaving || u.shown(now) == c {
 		return nil
 	}
-	u.version++
+	u.private = c == Suspect && !m.speaksFor(now, u)
+	if !u.private {
+		u.version++
+	}
 	return m.setUpstream(now, u, c)
 }
 
+// speaksFor reports whether this daemon's failed connections say something
+// about an upstream to others: not if routers of the upstream's region know
+// better, since regions can lose each other.
+func (m *Members) speaksFor(now time.Time, u *upstream) bool {
+	if u.host.Region == m.self.Region {
+		return true
+	}
+	for _, r := range m.routers {
+		if r.host.Region == u.host.Region && r.inUse(now) {
+			return false
+		}
+	}
+	return true
+}
+
 func (m *Members) setUpstream(now time.Time, u *upstream, c Condition) []Effect {
 	u.condition, u.since, u.broken = c, now, 0
 	if c == Suspect {
 		u.hold.fail(now, m.settings)
 	}
-	m.news.put(u.asNews())
+	if !u.private {
+		m.news.put(u.asNews())
+	}
 	return u.report(now)
 }
 
@@ -144,6 +167,7 @@
 		return nil
 	}
 	u.version = n.Version
+	u.private = false
 	if n.Condition == u.condition {
 		return nil
 	}
@@ -169,7 +193,10 @@
 // Each daemon does so by itself, so nothing is passed on; the higher version
 // keeps late copies of the old news out.
 func (m *Members) endUpstream(now time.Time, u *upstream) []Effect {
-	u.version++
+	if !u.private {
+		u.version++
+	}
+	u.private = false
 	u.condition, u.since = Alive, now
 	return u.report(now)
 }
