Ledger: a full slot makes room by the clock; benchmarks and a fuzz target

Cause: the horizon follows claimed keys, but a full slot claims nothing, so it would have refused for ever. Change: a full slot moves the horizon with the clock, no further than behind its newest key, also by a segment without records. TestFullLedgerMakesRoom failed before it.

--- /dev/null
+++ b/internal/claims/codec_test.go
@@ -0,0 +1,40 @@
+package claims
+
+import (
+	"testing"
+
+	"github.com/google/uuid"
+
+	"github.com/verbenatrail/verbenatrail/internal/ledger"
+)
+
+// FuzzDecodeSegment feeds values that the key-value service may hold: what is
+// accepted must survive another round, and nothing may panic.
+func FuzzDecodeSegment(f *testing.F) {
+	valid, err := encodeSegment(ledger.Segment{
+		Holder: "a", Nonce: 1, Horizon: 2, Compacted: true,
+		Records: []ledger.Record{
+			{Kind: ledger.RecordClaim, Key: uuid.Must(uuid.NewV7()), Fingerprint: 3},
+			{Kind: ledger.RecordAnswer, Result: Result{Status: 200, Body: []byte("x")}},
+		},
+	})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(valid)
+	f.Add([]byte{0xff})
+	f.Fuzz(func(t *testing.T, value []byte) {
+		segment, err := decodeSegment(value)
+		if err != nil {
+			return
+		}
+		again, err := encodeSegment(segment)
+		if err != nil {
+			t.Skip("text that isn't UTF-8")
+		}
+		second, err := decodeSegment(again)
+		if err != nil || len(second.Records) != len(segment.Records) || second.Horizon != segment.Horizon {
+			t.Fatalf("%+v became %+v (%v)", segment, second, err)
+		}
+	})
+}
--- a/internal/claims/state_test.go
+++ b/internal/claims/state_test.go
@@ -1,7 +1,10 @@
 package claims
 
 import (
+	"maps"
 	"math/rand"
+	"runtime"
+	"slices"
 	"testing"
 	"time"
 
@@ -13,15 +16,19 @@
 // slotModel carries out the effects of one ledger in virtual time against a
 // map of encoded segments.
 type slotModel struct {
-	t        *testing.T
+	t        testing.TB
 	now      time.Time
 	ledger   *ledger.Ledger
-	segments map[uint64]int
+	segments map[uint64][]byte
 	head     int64
 	appends  int
 	written  int
 	largest  int
 	answered int
+	sent     int
+	rng      *rand.Rand
+	// gap is the mean time between two actions.
+	gap time.Duration
 }
 
 func (m *slotModel) step(event ledger.Event) {
@@ -60,7 +67,7 @@
 	if err != nil {
 		m.t.Fatal(err)
 	}
-	m.segments[a.Number] = len(value)
+	m.segments[a.Number] = value
 	for _, number := range a.Remove {
 		delete(m.segments, number)
 	}
@@ -73,38 +80,50 @@
 
 func (m *slotModel) stored() int {
 	sum := 0
-	for _, size := range m.segments {
-		sum += size
+	for _, value := range m.segments {
+		sum += len(value)
 	}
 	return sum
 }
 
-// The journal of one slot at 310 actions a second in the fleet stays bounded
-// after several retentions, and its values stay below the service's limit.
-func TestStateOfOneSlotAtTheTargetSize(t *testing.T) {
-	const actionsPerSecond = 310
-	const valueLimit = 1 << 20
-	settings := DefaultSettings()
-	mean := time.Second * time.Duration(settings.Slots) / actionsPerSecond
-	rng := rand.New(rand.NewSource(1))
-	m := &slotModel{
-		t: t, now: time.Unix(1_800_000_000, 0), segments: map[uint64]int{},
-		ledger: ledger.New(settings.ledgerConfig("daemon-1")),
+const (
+	targetActionsPerSecond = 310
+	valueLimit             = 1 << 20
+)
+
+// newSlotModel returns a slot that takes its share of the target size's
+// actions; run goes on for a time and returns the number of actions sent.
+func newSlotModel(t testing.TB, s Settings) *slotModel {
+	return &slotModel{
+		t: t, now: time.Unix(1_800_000_000, 0), segments: map[uint64][]byte{},
+		ledger: ledger.New(s.ledgerConfig("daemon-1")), rng: rand.New(rand.NewSource(1)),
+		gap: time.Second * time.Duration(s.Slots) / targetActionsPerSecond,
 	}
-	end := m.now.Add(3 * settings.Retention.Std())
-	next := m.now
-	sent := 0
-	for m.now.Before(end) {
+}
+
+func (m *slotModel) run(length time.Duration) int {
+	end := m.now.Add(length)
+	before := m.sent
+	for next := m.now; m.now.Before(end); {
 		if wake := m.ledger.Wake(); !wake.IsZero() && wake.Before(next) {
 			m.now = wake
 			m.step(ledger.Tick{})
 			continue
 		}
 		m.now = next
-		sent++
-		m.step(ledger.Arrived{Request: ledger.RequestID(sent), Key: keyAt(rng, m.now)})
-		next = next.Add(time.Duration(rng.ExpFloat64() * float64(mean)))
+		m.sent++
+		m.step(ledger.Arrived{Request: ledger.RequestID(m.sent), Key: keyAt(m.rng, m.now)})
+		next = next.Add(time.Duration(m.rng.ExpFloat64() * float64(m.gap)))
 	}
+	return m.sent - before
+}
+
+// The journal of one slot at 310 actions a second in the fleet stays bounded
+// after several retentions, and its values stay below the service's limit.
+func TestStateOfOneSlotAtTheTargetSize(t *testing.T) {
+	settings := DefaultSettings()
+	m := newSlotModel(t, settings)
+	sent := m.run(3 * settings.Retention.Std())
 	stats := m.ledger.Stats()
 	t.Logf("actions=%d answered=%d remembered=%d segments=%d stored_bytes=%d largest_value=%d appends=%d written_bytes_per_action=%d",
 		sent, m.answered, stats.Actions, len(m.segments), m.stored(), m.largest, m.appends, m.written/sent)
@@ -127,3 +146,49 @@
 	key[8] = key[8]&0x3f | 0x80
 	return key
 }
+
+// BenchmarkActionAtTargetSize is the processor time of one action in the
+// decisions and the encoding, and the memory that a remembered action takes.
+func BenchmarkActionAtTargetSize(b *testing.B) {
+	settings := DefaultSettings()
+	m := newSlotModel(b, settings)
+	before := heapBytes()
+	m.run(settings.Retention.Std())
+	memory := float64(heapBytes()-before-int64(m.stored())) / float64(m.ledger.Stats().Actions)
+	b.ResetTimer()
+	for done := 0; done < b.N; {
+		done += m.run(time.Second)
+	}
+	b.ReportMetric(memory, "heap-B/action")
+}
+
+// BenchmarkTakeOverAtTargetSize decodes and replays a slot's journal after one
+// retention.
+func BenchmarkTakeOverAtTargetSize(b *testing.B) {
+	settings := DefaultSettings()
+	m := newSlotModel(b, settings)
+	m.run(settings.Retention.Std())
+	numbers := slices.Sorted(maps.Keys(m.segments))
+	b.ResetTimer()
+	for range b.N {
+		loaded := ledger.Loaded{Nonce: 2, Head: m.head}
+		for _, number := range numbers {
+			segment, err := decodeSegment(m.segments[number])
+			if err != nil {
+				b.Fatal(err)
+			}
+			loaded.Segments = append(loaded.Segments, ledger.NumberedSegment{Number: number, Segment: segment})
+		}
+		l := ledger.New(settings.ledgerConfig("daemon-2"))
+		l.Step(m.now, ledger.Arrived{Request: 1, Key: keyAt(m.rng, m.now)})
+		l.Step(m.now, loaded)
+	}
+	b.ReportMetric(float64(m.stored()), "journal-B")
+}
+
+func heapBytes() int64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return int64(stats.HeapAlloc)
+}
--- a/internal/ledger/append.go
+++ b/internal/ledger/append.go
@@ -41,7 +41,7 @@
 		}
 		return
 	}
-	if l.queue.empty() {
+	if l.queue.empty() && !l.expiryDue() {
 		l.advanceCheck()
 		return
 	}
@@ -50,6 +50,12 @@
 	}
 }
 
+// expiryDue reports whether a segment without records would make room in a
+// full ledger.
+func (l *Ledger) expiryDue() bool {
+	return l.full() && l.nextHorizon() > l.journal.horizon
+}
+
 // appendDue returns when the queued records are to be written.
 func (l *Ledger) appendDue() time.Time {
 	due := l.pace.Add(-time.Duration(l.cfg.AppendBurst-1) * l.cfg.CommitInterval)
--- a/internal/ledger/journal.go
+++ b/internal/ledger/journal.go
@@ -115,17 +115,24 @@
 
 // nextHorizon moves the horizon in steps. It follows the keys that were
 // claimed, not this daemon's clock, so that a wrong clock can't forget claims
-// early nor shut out new keys.
+// early nor shut out new keys. A full ledger claims nothing: then the horizon
+// follows the clock, up to behind the newest key.
 func (l *Ledger) nextHorizon() int64 {
 	behind := (l.cfg.Retention + l.cfg.ClockAllowance).Milliseconds()
 	step := (l.cfg.Retention / horizonSteps).Milliseconds()
 	candidate := l.journal.newest - behind
+	if l.full() {
+		candidate = max(candidate, min(l.now.UnixMilli()-behind, l.journal.newest+1))
+	}
 	if candidate < l.journal.horizon+step {
 		return l.journal.horizon
 	}
 	return candidate
 }
 
+// full reports whether no further action can be remembered.
+func (l *Ledger) full() bool { return len(l.entries) >= l.cfg.MaxActions }
+
 func (l *Ledger) compactionDue() bool {
 	return l.journal.uncompacted >= l.cfg.CompactAfter || l.journal.touchedBytes >= l.cfg.SegmentBytes
 }
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -176,6 +176,26 @@
 	}
 }
 
+// Without a horizon that follows the clock, a full ledger would claim nothing
+// and so never forget anything.
+func TestFullLedgerMakesRoom(t *testing.T) {
+	w := calm()
+	w.holders[0].ledger.cfg.MaxActions = 3
+	for range 3 {
+		w.send(0, w.key(w.now), 1)
+	}
+	w.settle()
+	requireRefusal(t, w.lastReply(t, 0, w.key(w.now), 1), refusal.Overloaded, refusal.NotRun)
+	w.now = w.now.Add(2 * time.Minute)
+	w.settle()
+	key := w.key(w.now)
+	w.send(0, key, 1)
+	w.settle()
+	if w.executions[key] != 1 {
+		t.Errorf("a new action ran %d times after the retention", w.executions[key])
+	}
+}
+
 func TestKeyTimes(t *testing.T) {
 	w := calm()
 	w.send(0, w.key(w.now), 1)
--- a/internal/ledger/requests.go
+++ b/internal/ledger/requests.go
@@ -77,7 +77,7 @@
 		return refusalLeaving()
 	case l.outage():
 		return refusalOutage(l.untilRetry())
-	case len(l.entries) >= l.cfg.MaxActions:
+	case l.full():
 		return refusalFull()
 	default:
 		return nil
