--- a/internal/retry/retry_test.go
+++ b/internal/retry/retry_test.go
@@ -23,6 +23,7 @@
 			}
 		}
 	}
+	t.Logf("%d sends for %d requests", sends, requests)
 	if limit := requests + defaultBurst + 1; sends > limit {
 		t.Errorf("%d sends for %d requests, want at most %d", sends, requests, limit)
 	}
