Claims: trust_time of 4 s, a pause before resends that join

A refusal because another request is under way names a pause, so that callers resend and learn the outcome.

--- a/internal/claims/settings.go
+++ b/internal/claims/settings.go
@@ -71,7 +71,7 @@
 	defaultCallTimeout     = time.Second
 	defaultRetryPause      = 50 * time.Millisecond
 	defaultMaxRetryPause   = 2 * time.Second
-	defaultTrustTime       = 10 * time.Second
+	defaultTrustTime       = 4 * time.Second
 	defaultCheckInterval   = 3 * time.Second
 	defaultHoldOff         = time.Second
 	defaultCompactAfter    = 64
--- a/internal/ledger/refusals.go
+++ b/internal/ledger/refusals.go
@@ -33,7 +33,8 @@
 
 func refusalStillRunning() *refusal.Refusal {
 	return refusal.NewUnknown(refusal.ActionUnconfirmed,
-		"another request with this action key is under way: send it again with the same key to learn the outcome")
+		"another request with this action key is under way: send it again with the same key to learn the outcome").
+		WithRetryAfter(time.Second)
 }
 
 func refusalOutage(retryAfter time.Duration) *refusal.Refusal {
