--- a/internal/containment/containment_test.go
+++ b/internal/containment/containment_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand"
+	"slices"
 	"testing"
 	"time"
 
@@ -92,6 +93,7 @@
 		for _, r := range s.requests {
 			s.advance(r)
 		}
+		s.requests = slices.DeleteFunc(s.requests, func(r *simRequest) bool { return r.engine == simEnded })
 	}
 }
 
