--- a/internal/actions/actions.go
+++ b/internal/actions/actions.go
@@ -72,9 +72,10 @@
 			break
 		}
 	}
-	return nil, withHistory(refusal.New(refusal.OwnerUnreachable,
+	// Nobody has looked into the journal: an earlier request may have run it.
+	return nil, refusal.NewUnknown(refusal.OwnerUnreachable,
 		"no router can take the action: resend it with the same key after the given time").
-		WithRetryAfter(retryAfterHolders), reached)
+		WithRetryAfter(retryAfterHolders)
 }
 
 // mayHaveClaimed reports whether a holder that gave no answer may have claimed
@@ -82,7 +83,7 @@
 func mayHaveClaimed(err error) bool {
 	var refused *refusal.Refusal
 	if errors.As(err, &refused) {
-		return refused.Outcome != refusal.NotRun
+		return refused.Kind != refusal.Leaving
 	}
 	return !errors.Is(err, relay.ErrOwnerUnreachable)
 }
@@ -116,9 +117,7 @@
 	if !reached || refused.Outcome != refusal.NotRun || isFenced(refused.Kind) {
 		return refused
 	}
-	unknown := *refused
-	unknown.Outcome = refusal.Unknown
-	return &unknown
+	return refused.AsUnknown()
 }
 
 func isFenced(kind refusal.Kind) bool {
--- a/internal/claims/claims.go
+++ b/internal/claims/claims.go
@@ -172,7 +172,7 @@
 }
 
 func leaving() *refusal.Refusal {
-	return refusal.New(refusal.Leaving,
-		"this daemon is shutting down, the action was not run: send it again with the same key").
+	return refusal.NewUnknown(refusal.Leaving,
+		"this daemon is shutting down, this request was not run: send it again with the same key").
 		WithRetryAfter(time.Second)
 }
--- a/internal/ledger/requests.go
+++ b/internal/ledger/requests.go
@@ -88,7 +88,7 @@
 func (l *Ledger) awaitLoad(a Arrived) {
 	switch {
 	case l.draining:
-		l.refuse(a.Request, refusalLeaving())
+		l.refuse(a.Request, l.ofAction(a, refusalLeaving()))
 	case l.phase == phaseClosed && l.outage() && l.now.Before(l.retryAt):
 		l.refuse(a.Request, l.ofAction(a, refusalOutage(l.untilRetry())))
 	default:
@@ -218,10 +218,9 @@
 	if a.First || missing || r.Outcome == refusal.Unknown {
 		return r
 	}
-	unknown := *r
-	unknown.Outcome = refusal.Unknown
+	unknown := r.AsUnknown()
 	unknown.Message = "the claims can't be read, an earlier request with this key may have run: " + r.Message
-	return &unknown
+	return unknown
 }
 
 func (l *Ledger) untilRetry() time.Duration {
--- a/internal/refusal/refusal.go
+++ b/internal/refusal/refusal.go
@@ -94,6 +94,13 @@
 	return r
 }
 
+// AsUnknown returns a copy of r that says nothing about the execution.
+func (r *Refusal) AsUnknown() *Refusal {
+	unknown := *r
+	unknown.Outcome = Unknown
+	return &unknown
+}
+
 // Error returns the kind, the outcome and the message.
 func (r *Refusal) Error() string {
 	return string(r.Kind) + " (" + string(r.Outcome) + "): " + r.Message
--- a/internal/router/service.go
+++ b/internal/router/service.go
@@ -23,7 +23,7 @@
 	name, target := splitServicePath(r)
 	service, refused := s.service(info.workspace, name)
 	if refused != nil {
-		s.refuse(w, info, refused)
+		s.refuse(w, info, beforeJournal(r, refused))
 		return
 	}
 	if refused := target.check(); refused != nil {
@@ -32,7 +32,7 @@
 	}
 	body, release, refused := s.readBody(w, r)
 	if refused != nil {
-		s.refuse(w, info, refused)
+		s.refuse(w, info, beforeJournal(r, refused))
 		return
 	}
 	defer release()
@@ -44,6 +44,17 @@
 	s.serveAction(w, r, info, call)
 }
 
+// beforeJournal returns what a request with an action key is told before the
+// action's journal was asked: a refusal that a resend may escape says nothing
+// about an earlier request with the key, which may have run.
+func beforeJournal(r *http.Request, refused *refusal.Refusal) *refusal.Refusal {
+	transient := refused.RetryAfter > 0 || refused.Kind == refusal.SlowRequest
+	if r.Header.Get(HeaderActionKey) == "" || !transient {
+		return refused
+	}
+	return refused.AsUnknown()
+}
+
 // servicePath is the part of a call's URL below the service's name.
 type servicePath struct {
 	// escaped is sent to the instance, with the query.
