--- a/internal/layout/layout.go
+++ b/internal/layout/layout.go
@@ -48,8 +48,13 @@
 // Layout is the list of processes, in the order of their start.
 type Layout struct {
 	Processes []Process `yaml:"processes"`
+
+	dir string
 }
 
+// Dir returns the directory that the layout was written to or read from.
+func (l *Layout) Dir() string { return l.dir }
+
 // ErrUnknownProcess means that a name isn't in the layout.
 var ErrUnknownProcess = errors.New("no such process in the layout: compare the trace with processes.yaml")
 
@@ -100,7 +105,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "layout can't be read: make one with vt-replay layout")
 	}
-	l := &Layout{}
+	l := &Layout{dir: dir}
 	if err := yaml.UnmarshalWithOptions(data, l, yaml.Strict()); err != nil {
 		return nil, errors.Wrap(err, processesFile)
 	}
--- a/internal/layout/write.go
+++ b/internal/layout/write.go
@@ -33,7 +33,7 @@
 
 // Write lays out the processes of a trace's deployment.
 func Write(t *trace.Trace, o Options) (*Layout, error) {
-	w := &writer{trace: t, options: o, ports: newPorts(), layout: &Layout{}}
+	w := &writer{trace: t, options: o, ports: newPorts(), layout: &Layout{dir: o.Dir}}
 	steps := []func() error{
 		w.makeDirectories, w.addPlatform, w.addEngines, w.addServices,
 		w.addRouters, w.addDirectories, w.addStewards,
--- a/internal/replay/faults.go
+++ b/internal/replay/faults.go
@@ -36,8 +36,13 @@
 	if err != nil {
 		return err
 	}
-	if fault.Action == trace.ActionSet {
+	switch fault.Action {
+	case trace.ActionSet:
 		return r.admin.post(ctx, target.Address, standin.PathFaults, fault.Body)
+	case trace.ActionPerform:
+		return r.admin.post(ctx, target.Address, standin.PathActions, fault.Body)
+	case trace.ActionLeave:
+		return r.tellHostList(ctx, fault)
 	}
 	if err := Signal(target, fault.Action); err != nil {
 		return err
@@ -77,7 +82,7 @@
 	switch fault.Action {
 	case trace.ActionKill:
 		change.Change = hostserver.ChangeRemove
-	case trace.ActionShutdown:
+	case trace.ActionShutdown, trace.ActionLeave:
 		change.Change = hostserver.ChangeSetState
 		change.Host.State = hostlist.StateLeaving
 	default:
--- a/internal/replay/judge.go
+++ b/internal/replay/judge.go
@@ -88,6 +88,10 @@
 		return measureReuse(r)
 	case trace.MeasureReuseOfPossible:
 		return measureReuseOfPossible(r)
+	case trace.MeasureNewWorkOfLeaving:
+		return measureNewWorkOfLeaving(r)
+	case trace.MeasureBrokenStreams:
+		return measureBrokenStreams(r), ""
 	case trace.MeasureControlBytes:
 		return measureControlBytes(r)
 	case trace.MeasureConfiguration:
--- a/internal/replay/operator.go
+++ b/internal/replay/operator.go
@@ -53,7 +53,7 @@
 	if err != nil {
 		return 0, err
 	}
-	changed, err := relabel(current.Declarations, change)
+	changed, err := declared(current.Declarations, change)
 	if err != nil {
 		return 0, err
 	}
@@ -61,8 +61,12 @@
 	return committer.Commit(ctx, current.Revision, []declare.Change{changed})
 }
 
-// relabel returns the change that replaces the labels of an upstream.
-func relabel(d *declare.Declarations, change trace.Change) (declare.Change, error) {
+// declared returns the change of the declarations.
+func declared(d *declare.Declarations, change trace.Change) (declare.Change, error) {
+	if change.Drain {
+		drain := &declare.Drain{Name: change.Upstream}
+		return declare.Change{Kind: declare.KindDrain, Name: change.Upstream, Drain: drain}, nil
+	}
 	if e, ok := d.Engine(change.Upstream); ok {
 		e.Labels = fleet.Labels(change.Labels)
 		return declare.Change{Kind: declare.KindEngine, Name: e.Name, Engine: &e}, nil
--- a/internal/replay/record.go
+++ b/internal/replay/record.go
@@ -79,6 +79,9 @@
 	Live bool
 	// InFlight counts running and waiting requests.
 	InFlight int
+	// Accepted counts the chat requests since the engine's start, without
+	// those that it refused as leaving.
+	Accepted int64
 	// PromptTokens and CachedTokens are totals since the engine's start.
 	PromptTokens, CachedTokens int64
 }
@@ -89,8 +92,9 @@
 	Revision uint64
 	// Live are the upstreams that the daemon sends new work.
 	Live []string
-	// ControlBytes is a total since the daemon's start.
-	ControlBytes float64
+	// ControlBytes and BrokenStreams are totals since the daemon's start.
+	ControlBytes  float64
+	BrokenStreams float64
 }
 
 // Record is all that a replay has seen.
--- a/internal/replay/sampler.go
+++ b/internal/replay/sampler.go
@@ -14,6 +14,9 @@
 	"github.com/verbenatrail/verbenatrail/internal/trace"
 )
 
+// metricBrokenStreams counts the streams that broke off at an owner.
+const metricBrokenStreams = "owner.streams_broken.streams"
+
 // stateLive is the state of an upstream that takes new work.
 const stateLive = "live"
 
@@ -98,7 +101,7 @@
 	}
 	return EngineSample{
 		Name: p.Name, Pool: s.pools[p.Name], InFlight: state.Running + state.Waiting,
-		PromptTokens: state.PromptTokens, CachedTokens: state.CachedTokens,
+		Accepted: state.Chats, PromptTokens: state.PromptTokens, CachedTokens: state.CachedTokens,
 	}, true
 }
 
@@ -111,7 +114,10 @@
 	if s.admin.get(ctx, p.Admin, status.MetricsPath, &metrics) != nil {
 		return DaemonSample{}, false
 	}
-	sample := DaemonSample{Name: p.Name, Revision: page.ConfigRevision, ControlBytes: metrics.ControlBytes()}
+	sample := DaemonSample{
+		Name: p.Name, Revision: page.ConfigRevision, ControlBytes: metrics.ControlBytes(),
+		BrokenStreams: metrics[metricBrokenStreams].Count,
+	}
 	for _, u := range page.Upstreams {
 		if u.State == stateLive {
 			sample.Live = append(sample.Live, u.Name)
--- a/internal/trace/check.go
+++ b/internal/trace/check.go
@@ -88,13 +88,14 @@
 }
 
 func (p *parser) checkFaults() {
-	known := []FaultAction{ActionKill, ActionFreeze, ActionThaw, ActionShutdown, ActionSet}
+	known := []FaultAction{ActionKill, ActionFreeze, ActionThaw, ActionShutdown, ActionLeave, ActionSet, ActionPerform}
 	for _, fault := range p.trace.Faults {
 		if !slices.Contains(known, fault.Action) {
 			p.fail("fault of %s: action %q is not known", fault.Target, fault.Action)
 		}
-		if fault.Action == ActionSet && len(fault.Body) == 0 {
-			p.fail("fault of %s: the action set needs a body", fault.Target)
+		needsBody := fault.Action == ActionSet || fault.Action == ActionPerform
+		if needsBody && len(fault.Body) == 0 {
+			p.fail("fault of %s: the action %s needs a body", fault.Target, fault.Action)
 		}
 	}
 }
--- a/internal/trace/trace.go
+++ b/internal/trace/trace.go
@@ -181,12 +181,14 @@
 func (c *Call) At() time.Duration { return milliseconds(c.AtMS) }
 
 // Change is one commit by an operator: the labels of an engine or service
-// instance are replaced.
+// instance are replaced, or it is drained.
 type Change struct {
 	AtMS     int64             `json:"at_ms"`
 	ID       string            `json:"id"`
 	Upstream string            `json:"upstream"`
-	Labels   map[string]string `json:"labels"`
+	Labels   map[string]string `json:"labels,omitempty"`
+	// Drain sends no new work to the upstream and leaves its labels.
+	Drain bool `json:"drain,omitempty"`
 }
 
 // At returns the time of the commit from the start of the replay.
@@ -205,8 +207,12 @@
 	ActionThaw FaultAction = "thaw"
 	// ActionShutdown asks the process to end gracefully (SIGTERM).
 	ActionShutdown FaultAction = "shutdown"
+	// ActionLeave sets the state of the host to leaving in the platform's list.
+	ActionLeave FaultAction = "leave"
 	// ActionSet sends Body to the fault switches of a stand-in.
 	ActionSet FaultAction = "set"
+	// ActionPerform sends Body to the actions of a stand-in, which happen once.
+	ActionPerform FaultAction = "perform"
 )
 
 // Fault is one failure, brought about at a time.
@@ -214,7 +220,7 @@
 	AtMS   int64       `json:"at_ms"`
 	Target string      `json:"target"`
 	Action FaultAction `json:"action"`
-	// Body is what ActionSet sends, in the form of the stand-in's switches.
+	// Body is what ActionSet and ActionPerform send, in the stand-in's form.
 	Body map[string]any `json:"body,omitempty"`
 }
 
@@ -260,6 +266,11 @@
 	// caches and loads could reuse under the same bound: a returning turn
 	// counts when its last engine was live and below its bound.
 	MeasureReuseOfPossible Measure = "cache_reuse_of_possible"
+	// MeasureNewWorkOfLeaving counts requests that an engine accepted more than
+	// LeavingGrace after it began to leave or was drained.
+	MeasureNewWorkOfLeaving Measure = "new_work_of_leaving"
+	// MeasureBrokenStreams counts streams of engines that broke off.
+	MeasureBrokenStreams Measure = "broken_streams"
 	// MeasureControlBytes is the highest control traffic of a router, in bytes
 	// per second.
 	MeasureControlBytes Measure = "control_bytes_per_s"
@@ -274,7 +285,11 @@
 var Measures = []Measure{
 	MeasureWholeAnswers, MeasureWrongAnswers, MeasureRefusedTurns,
 	MeasureExecutions, MeasureNotRunExecutions, MeasureDoneWithoutRun, MeasureConfirmedActions,
-	MeasureSkew, MeasureReuse, MeasureReuseOfPossible, MeasureControlBytes, MeasureConfiguration, MeasureReverts,
+	MeasureSkew, MeasureReuse, MeasureReuseOfPossible,
+	MeasureNewWorkOfLeaving, MeasureBrokenStreams, MeasureControlBytes, MeasureConfiguration, MeasureReverts,
 }
 
+// LeavingGrace is how long after its notice a leaving engine may get new work.
+const LeavingGrace = 4 * time.Second
+
 func milliseconds(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
