--- a/cmd/vt-capacity/measure.go
+++ b/cmd/vt-capacity/measure.go
@@ -36,7 +36,7 @@
 	addOutFlag(cmd, &m.out)
 	cmd.Flags().StringVar(&m.against, "against", capacity.AgainstRouters, "size that the runs vary")
 	cmd.Flags().StringSliceVar(&m.phases, "phases", []string{"start", "idle"},
-		"of start, idle, list, changes, outage, chats, actions, takeover, lookups, lookup-cost, steward and open, in order")
+		"of start, idle, list, changes, outage, chats, actions, takeover, lookups, lookup-cost, steward, open and failure, in order")
 	return cmd
 }
 
@@ -92,6 +92,8 @@
 		return e.ListPolls(ctx, listLength)
 	case "takeover":
 		return e.TakeOver(ctx)
+	case "failure":
+		return e.Failure(ctx, m.dir)
 	case "steward":
 		return e.Steward(ctx, idleLength)
 	case "open":
--- a/internal/capacity/capacity_test.go
+++ b/internal/capacity/capacity_test.go
@@ -99,8 +99,9 @@
 	}
 	for _, want := range []string{
 		"`make capacity SEED=7` at commit abc1234, seed 7, on 10 cores", "load average of 1.0 to 3.0",
-		"## Against routers", "| ping | B/s | 4 | 2 | 0 | 4: 12, 8: 20 |",
-		"| chat | s | not fitted | not fitted | not fitted | 1: 0.25 |",
+		"## Against routers", "Target: 410 (daemons, taken as routers).",
+		"| ping | B/s | 4 | 2 | 0 | 824 | 4: 12, 8: 20 |",
+		"| chat | s | not fitted | not fitted | not fitted | not fitted | 1: 0.25 |",
 	} {
 		if !strings.Contains(out.String(), want) {
 			t.Errorf("%q is missing in:\n%s", want, out.String())
@@ -108,6 +109,15 @@
 	}
 }
 
+func TestTargetSizesFollowFromTheStatedOnes(t *testing.T) {
+	for against, want := range map[string]float64{againstTokens: 354.8, againstOpen: 64220, againstJournal: 17437.5, againstChats: 8780} {
+		target, known := targetOf(against)
+		if !known || math.Abs(target.X-want) > want/1000 {
+			t.Errorf("%s: target = %v, want %v", against, target.X, want)
+		}
+	}
+}
+
 func TestLayoutFilesAreValid(t *testing.T) {
 	dir := t.TempDir()
 	layout := NewLayout(Size{Routers: 3, Engines: 6, Workspaces: 10, Models: 2}, 1, 24000)
--- a/internal/capacity/experiment.go
+++ b/internal/capacity/experiment.go
@@ -109,6 +109,9 @@
 		return err
 	}
 	e.noteCalls("cold start, all at once", "calls", before, after.kv, 1)
+	routers := float64(len(after.routers))
+	e.note("cold start: configuration bytes from the key-value service, mean router", "B", after.sum("config.fetched_from_store.bytes")/routers)
+	e.note("cold start: configuration bytes from peers, mean router", "B", after.sum("config.fetched_from_peers.bytes")/routers)
 	e.note("cold start: processor, mean router", "s", after.mean(telemetry.GaugeCPU)/float64(time.Second))
 	return e.waitView(ctx)
 }
--- a/internal/capacity/report.go
+++ b/internal/capacity/report.go
@@ -49,16 +49,20 @@
 the residual is the standard deviation of the points from the line.
 {{range .Groups}}
 ## Against {{.Against}}
-
-| figure | unit | fixed | slope | residual | points |
-|---|---|---|---|---|---|
-{{range .Series}}| {{.Figure}} | {{.Unit}} | {{fixed .}} | {{slope .}} | {{residual .}} | {{points .}} |
+{{with .Target}}
+Target: {{number .X}} ({{.From}}).
+{{end}}
+| figure | unit | fixed | slope | residual | at the target | points |
+|---|---|---|---|---|---|---|
+{{range .Series}}| {{.Figure}} | {{.Unit}} | {{fixed .}} | {{slope .}} | {{residual .}} | {{target .}} | {{points .}} |
 {{end}}{{end}}`
 
 // group is the series against one size.
 type group struct {
 	Against string
-	Series  []Series
+	// Target is nil when no target is stated for the size.
+	Target *TargetSize
+	Series []Series
 }
 
 // Groups returns the series by what they were measured against.
@@ -66,7 +70,7 @@
 	var groups []group
 	for _, s := range r.Series {
 		if n := len(groups); n == 0 || groups[n-1].Against != s.Against {
-			groups = append(groups, group{Against: s.Against})
+			groups = append(groups, newGroup(s.Against))
 		}
 		last := &groups[len(groups)-1]
 		last.Series = append(last.Series, s)
@@ -74,13 +78,23 @@
 	return groups
 }
 
+func newGroup(against string) group {
+	g := group{Against: against}
+	if target, known := targetOf(against); known {
+		g.Target = &target
+	}
+	return g
+}
+
 // WriteMarkdown writes the report as tables.
 func (r *Report) WriteMarkdown(w io.Writer) error {
 	functions := template.FuncMap{
 		"fixed":    func(s Series) string { return s.cell(func(f *Fit) float64 { return f.Intercept }) },
 		"slope":    func(s Series) string { return s.cell(func(f *Fit) float64 { return f.Slope }) },
 		"residual": func(s Series) string { return s.cell(func(f *Fit) float64 { return f.Residual }) },
+		"target":   Series.targetCell,
 		"points":   Series.pointList,
+		"number":   number,
 	}
 	parsed, err := template.New("report").Funcs(functions).Parse(markdownText)
 	if err != nil {
@@ -99,6 +113,14 @@
 	return number(part(s.Fit))
 }
 
+func (s Series) targetCell() string {
+	value, known := s.AtTarget()
+	if !known {
+		return noFit
+	}
+	return number(value)
+}
+
 func (s Series) pointList() string {
 	parts := make([]string, 0, len(s.Points))
 	for _, p := range s.Points {
--- a/internal/capacity/sample.go
+++ b/internal/capacity/sample.go
@@ -156,6 +156,15 @@
 	return sum / float64(len(s.routers))
 }
 
+// sum is a counter's sum over the routers.
+func (s *Sample) sum(name string) float64 {
+	sum := 0.0
+	for _, r := range s.routers {
+		sum += r.counter(name)
+	}
+	return sum
+}
+
 // highest is a gauge's highest value over the routers.
 func (s *Sample) highest(name string) float64 {
 	value := 0.0
--- /dev/null
+++ b/internal/capacity/target.go
@@ -0,0 +1,68 @@
+package capacity
+
+// TargetSize is one size of the fleet that is to be reached.
+type TargetSize struct {
+	Against string  `json:"against"`
+	X       float64 `json:"x"`
+	// From tells how X follows from the stated sizes.
+	From string `json:"from"`
+}
+
+// Sizes that are stated for the target.
+const (
+	targetRouters          = 410
+	targetEngines          = 600
+	targetWorkspaces       = 30_000
+	targetModels           = 12
+	targetRequests         = 3_100
+	targetTokens           = 1_100_000
+	targetChats            = 3_600_000
+	targetSecondsPerToken  = 0.055
+	targetFirstToken       = 1.2
+	targetActionShare      = 0.1
+	targetSlots            = 16
+	targetRetentionSeconds = 15 * 60
+)
+
+// TargetSizes returns the target for each size that is varied.
+func TargetSizes() []TargetSize {
+	tokensPerRequest := float64(targetTokens) / targetRequests
+	answerSeconds := targetFirstToken + tokensPerRequest*targetSecondsPerToken
+	actions := targetActionShare * targetRequests
+	return []TargetSize{
+		{AgainstRouters, targetRouters, "daemons, taken as routers"},
+		{AgainstEngines, targetEngines, "engines"},
+		{AgainstWorkspaces, targetWorkspaces, "workspaces"},
+		{againstRequests, targetRequests, "requests/s of the fleet"},
+		{againstTokens, tokensPerRequest, "tokens/s by requests/s"},
+		{againstOpen, targetRequests * answerSeconds, "requests/s by the time of an answer"},
+		{againstActions, actions, "assumed: a tenth of the requests are actions"},
+		{againstJournal, actions / targetSlots * targetRetentionSeconds, "actions/s by slots and retention"},
+		{againstChats, targetChats / targetRouters, "chats by daemons"},
+		{againstPools, targetModels, "one pool for each model"},
+		{againstPoolSize, targetEngines / targetModels, "engines by models"},
+		{againstMembers, targetRouters, "daemons"},
+		{againstDeclared, targetWorkspaces, "workspaces"},
+		{againstLookups, targetRequests, "one lookup for each request"},
+	}
+}
+
+// targetOf returns the target of a size; false when there is none.
+func targetOf(against string) (TargetSize, bool) {
+	for _, t := range TargetSizes() {
+		if t.Against == against {
+			return t, true
+		}
+	}
+	return TargetSize{}, false
+}
+
+// AtTarget returns the value of the series' line at the target size; false
+// without a line or a target.
+func (s Series) AtTarget() (float64, bool) {
+	target, known := targetOf(s.Against)
+	if !known || s.Fit == nil {
+		return 0, false
+	}
+	return s.Fit.At(target.X), true
+}
--- a/scripts/capacity.sh
+++ b/scripts/capacity.sh
@@ -81,7 +81,7 @@
 	case $case in
 	routers)
 		for n in 4 8 16 32 64; do
-			run_case "routers-$n" "$n" 60 100 routers start,idle,changes,lookup-cost,outage
+			run_case "routers-$n" "$n" 60 100 routers start,idle,changes,lookup-cost,outage,failure
 		done
 		;;
 	engines)
