--- a/internal/admission/scheduler.go
+++ b/internal/admission/scheduler.go
@@ -39,15 +39,24 @@
 // later command, or with Cancel.
 func (s *Scheduler) Offer(now time.Time, r Request) Decision {
 	r = s.withDefaults(now, r)
-	if r.PoolFull && !s.hasRoom(now) {
-		s.bound.raise(now)
-	}
+	s.raiseBound(now, r)
 	effects := s.dispatch(now)
 	d := s.decide(now, r)
 	d.Effects = append(effects, d.Effects...)
 	return d
 }
 
+// raiseBound takes what a request knows about the pool's load.
+func (s *Scheduler) raiseBound(now time.Time, r Request) {
+	switch {
+	case s.hasRoom(now):
+	case r.PoolMean > 0:
+		s.bound.observe(now, r.PoolMean)
+	case r.PoolFull:
+		s.bound.raise(now)
+	}
+}
+
 func (s *Scheduler) decide(now time.Time, r Request) Decision {
 	if reason := s.refusalFor(now, r); reason != ReasonNone {
 		return s.refuse(now, reason)
@@ -193,6 +202,10 @@
 // Queued returns the number of waiting requests.
 func (s *Scheduler) Queued() int { return s.queue.length }
 
+// ExpectedRun returns how long requests run here on average; zero before the
+// first has finished.
+func (s *Scheduler) ExpectedRun() time.Duration { return s.service.mean }
+
 // Limit returns the most requests that may be in flight now.
 func (s *Scheduler) Limit(now time.Time) int { return s.bound.limit(now) }
 
--- a/internal/admission/types.go
+++ b/internal/admission/types.go
@@ -33,7 +33,7 @@
 func DefaultSettings() Settings {
 	return Settings{
 		Multiple:      1.25,
-		Headroom:      0.1,
+		Headroom:      0.15,
 		MaxQueue:      256,
 		DefaultWait:   settings.Duration(30 * time.Second),
 		AgeingStep:    settings.Duration(5 * time.Second),
@@ -64,6 +64,9 @@
 	// request for their bound just now. It proves that the mean is at least
 	// this engine's bound, before any average arrives.
 	PoolFull bool
+	// PoolMean is the expected load of this engine by the loads that all owners
+	// of the pool named just now, in requests in flight; zero when unknown.
+	PoolMean float64
 }
 
 // Verdict is the kind of a Decision.
--- a/internal/owner/gate.go
+++ b/internal/owner/gate.go
@@ -59,6 +59,7 @@
 	defer g.mu.Unlock()
 	g.nextID++
 	request.ID = g.nextID
+	request.Deadline = startDeadline(now, request.Deadline, g.scheduler.ExpectedRun())
 	decision := g.scheduler.Offer(now, request)
 	g.deliver(decision.Effects)
 	if decision.Verdict != admission.Queued {
@@ -69,6 +70,16 @@
 	return request.ID, decision, waiter
 }
 
+// startDeadline leaves time for a whole answer after the start. A request whose
+// limit is shorter than usual answers may still start at once.
+func startDeadline(now, deadline time.Time, run time.Duration) time.Time {
+	latest := deadline.Add(-run)
+	if latest.After(now) {
+		return latest
+	}
+	return now.Add(gateTick)
+}
+
 // force takes a place without admission: the engine runs the stream already.
 func (g *gate) force(request *peerpb.ForwardRequest) *slot {
 	g.mu.Lock()
@@ -138,7 +149,9 @@
 	switch decision.Verdict {
 	case admission.Refused:
 		o.Metrics.Refused.Inc(1)
-		return nil, admissionRefusal(t.declared.Name, decision.Reason, decision.RetryAfter)
+		refused := admissionRefusal(t.declared.Name, decision.Reason, decision.RetryAfter)
+		refused.UpstreamLoad = float64(g.inFlight()) / float64(max(t.declared.Weight, 1))
+		return nil, refused
 	case admission.Queued:
 		o.Metrics.Queued.Inc(1)
 		if refused := o.wait(ctx, g, id, waiter, t, sink); refused != nil {
@@ -174,7 +187,7 @@
 		Class:    fleet.Priority(request.GetPriority()),
 		Deadline: now.Add(time.Duration(wait) * time.Millisecond),
 		MayWait:  request.GetMayWait(), PoolFull: request.GetPoolFull(),
-		Flexible: request.GetFlexible(),
+		Flexible: request.GetFlexible(), PoolMean: float64(request.GetPoolMean()) * float64(max(t.declared.Weight, 1)),
 	}
 }
 
--- a/internal/placement/measure_test.go
+++ b/internal/placement/measure_test.go
@@ -6,10 +6,12 @@
 	"testing"
 	"time"
 
+	"github.com/verbenatrail/verbenatrail/internal/membership"
 	"github.com/verbenatrail/verbenatrail/internal/placement"
 )
 
-const measuredHeadroom = 0.1
+// measuredHeadroom is the default of admission.Settings.
+const measuredHeadroom = 0.15
 
 func policies() []policy {
 	rendezvous := byStrategy(placement.Rendezvous{})
@@ -21,13 +23,14 @@
 		{name: "modulo, bounded", rank: byStrategy(placement.Modulo{})},
 		{name: "rendezvous", unbounded: true, rank: rendezvous},
 		{name: "rendezvous, bounded", rank: rendezvous},
-		{name: "  asks, wait x2", planned: true, patience: 2, rank: rendezvous},
+		{name: "  asks, wait x3", planned: true, patience: 3, rank: rendezvous},
 		{name: "  memory", planned: true, remembers: true, rank: rendezvous},
 		{name: "  memory, wait x1", planned: true, remembers: true, patience: 1, rank: rendezvous},
 		{name: "  memory, wait x2", planned: true, remembers: true, patience: 2, rank: rendezvous},
 		{name: "  memory, wait x3", planned: true, remembers: true, patience: 3, rank: rendezvous},
+		{name: "  memory, wait x4", planned: true, remembers: true, patience: 4, rank: rendezvous},
 		{name: "oracle, bounded", rank: oracle},
-		{name: "  asks, wait x2", planned: true, patience: 2, rank: oracle},
+		{name: "  asks, wait x3", planned: true, patience: 3, rank: oracle},
 		{name: "oracle, no bound", unbounded: true, rank: oracle},
 	}
 	for i := range all {
@@ -66,14 +69,52 @@
 		fmt.Printf("\nmean in flight %.0f, %d turns, seed %d\n", mean, len(arrivals), measureSeed)
 		printHeader()
 		for _, headroom := range []float64{0, 0.05, 0.1, 0.15, 0.2} {
-			p := policy{planned: true, remembers: true, patience: 2, headroom: headroom, rank: byStrategy(placement.Rendezvous{})}
+			p := policy{planned: true, remembers: true, patience: 3, headroom: headroom, rank: byStrategy(placement.Rendezvous{})}
 			printResult(fmt.Sprintf("headroom %.2f", headroom), newReplay(p, mean, time.Second).run(arrivals))
 		}
-		p := policy{planned: true, remembers: true, patience: 2, headroom: measuredHeadroom, rank: byStrategy(placement.Rendezvous{})}
+		p := policy{planned: true, remembers: true, patience: 3, headroom: measuredHeadroom, rank: byStrategy(placement.Rendezvous{})}
 		printResult("  lag 3 s", newReplay(p, mean, 3*time.Second).run(arrivals))
 	}
 }
 
+// TestMeasureDisturbances prints reuse and moved turns while routers hold
+// differing lists and while an engine flaps.
+func TestMeasureDisturbances(t *testing.T) {
+	if os.Getenv("VERBENATRAIL_MEASURE") == "" {
+		t.Skip("set VERBENATRAIL_MEASURE=1 to measure")
+	}
+	noHoldDown := membership.DefaultSettings()
+	noHoldDown.HoldDown, noHoldDown.MaxHoldDown = 1, 1
+	base := policy{
+		planned: true, remembers: true, patience: 3, headroom: measuredHeadroom,
+		holdDown: membership.DefaultSettings(), rank: byStrategy(placement.Rendezvous{}),
+	}
+	stale, flapping, forgetful := base, base, base
+	stale.staleLists = true
+	flapping.flapping = true
+	forgetful.flapping, forgetful.remembers = true, false
+	const mean = 20
+	arrivals := recordArrivals(mean, measureSeed)
+	fmt.Printf("\nmean in flight %d, seed %d\n", mean, measureSeed)
+	for _, line := range []struct {
+		name     string
+		policy   policy
+		holdDown membership.Settings
+	}{
+		{"undisturbed", base, base.holdDown},
+		{"lists differ for 5 s", stale, base.holdDown},
+		{"flapping, hold-down", flapping, base.holdDown},
+		{"flapping, no hold-down", flapping, noHoldDown},
+		{"flapping, hold-down, no memory", forgetful, base.holdDown},
+		{"flapping, no hold-down, no memory", forgetful, noHoldDown},
+	} {
+		line.policy.holdDown = line.holdDown
+		r := newReplay(line.policy, mean, time.Second).run(arrivals)
+		fmt.Printf("%-34s reuse %.3f  moved %.2f%%  over %.2f%%  refused %.2f%%\n", line.name, r.reuse(),
+			percent(r.moved, r.turns), percent(r.over, r.samples), percent(r.refused, r.turns))
+	}
+}
+
 func printHeader() {
 	fmt.Println("policy               reuse  samples-over  of-surge  worst-ratio  worst-excess  placed-over  refused  wait-p50  wait-p99")
 }
