Configuration: a start waits for peers, only watchers read the service

Cause: before it has read the host list, each process takes itself for a watcher. In a cold start of everything at once, all read the whole configuration from the key-value service: 5 reads and 3.8 MB a daemon at 30,000 workspaces, 2,055 reads and 1.5 GB at 410 daemons. Ruled out: jitter at the start, which spreads the same bytes. Change: no process watches before it has read the list; the others wait up to 5 s for peers; the first list starts a round at once, whose answer tells the newest revision; who becomes a watcher sees it within 100 ms instead of at its next poll.

--- a/internal/cluster/loop.go
+++ b/internal/cluster/loop.go
@@ -225,11 +225,16 @@
 	if c.result.hosts == nil {
 		return
 	}
-	if !l.listed {
+	first := !l.listed
+	if first {
 		l.listed, l.topologyDirty = true, true
 	}
 	l.daemons = daemonsOf(c.result.hosts)
 	l.perform(now, l.members.HearList(now, c.result.hosts))
+	if first {
+		// The answer tells the newest configuration revision.
+		l.round(now)
+	}
 }
 
 // noteListError logs when the list becomes unavailable and available again.
--- a/internal/configstore/follow.go
+++ b/internal/configstore/follow.go
@@ -22,8 +22,7 @@
 		var err error
 		if m.options.IsWatcher() {
 			err = m.watch(ctx)
-		} else {
-			sleep(ctx, jitter(m.options.MemberPoll))
+		} else if m.awaitPoll(ctx) {
 			_, err = m.poll(ctx)
 		}
 		if err == nil {
@@ -35,6 +34,20 @@
 	}
 }
 
+// awaitPoll waits until a process that doesn't watch has to poll. It returns
+// false when the process becomes a watcher before, or the context ends.
+func (m *Manager) awaitPoll(ctx context.Context) bool {
+	due := time.Now().Add(jitter(m.options.MemberPoll))
+	for ctx.Err() == nil && !m.options.IsWatcher() {
+		left := time.Until(due)
+		if left <= 0 {
+			return true
+		}
+		sleep(ctx, min(left, roleCheck))
+	}
+	return false
+}
+
 // jitter returns between three quarters and all of a time span, so that
 // processes don't poll together.
 func jitter(d time.Duration) time.Duration {
--- a/internal/configstore/manager.go
+++ b/internal/configstore/manager.go
@@ -26,7 +26,9 @@
 	// no watcher is left.
 	DefaultMemberPoll = 10 * time.Second
 
-	tickInterval   = 100 * time.Millisecond
+	tickInterval = 100 * time.Millisecond
+	// roleCheck is how often a process that doesn't watch looks whether it is to.
+	roleCheck      = 100 * time.Millisecond
 	inboxSize      = 64
 	minWatchPause  = 200 * time.Millisecond
 	maxWatchPause  = 5 * time.Second
@@ -104,6 +106,10 @@
 	if options.Rollout == (rollout.Settings{}) {
 		options.Rollout = rollout.DefaultSettings()
 	}
+	if options.PeerFetch == nil {
+		// There are no peers to wait for.
+		options.Rollout.StartGrace = 0
+	}
 	if options.WatcherPoll <= 0 {
 		options.WatcherPoll = DefaultWatcherPoll
 	}
--- a/internal/configstore/manager_test.go
+++ b/internal/configstore/manager_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -40,16 +41,22 @@
 // start runs a manager until the returned function is called.
 func (n *network) start(t *testing.T, address string, store kv.Store, watcher bool) func() {
 	t.Helper()
-	logger := logrus.New()
-	logger.SetOutput(io.Discard)
 	settings := rollout.DefaultSettings()
 	settings.StartGrace = 10 * time.Millisecond
-	settings.MinBackoff = 5 * time.Millisecond
-	settings.MaxBackoff = 20 * time.Millisecond
-	m := New(Options{
-		Store: store, PeerFetch: n.fetch, IsWatcher: func() bool { return watcher },
-		Rollout: settings, WatcherPoll: 50 * time.Millisecond, MemberPoll: time.Hour, Logger: logger, Seed: 1,
+	return n.startWith(t, address, Options{
+		Store: store, IsWatcher: func() bool { return watcher }, Rollout: settings, MemberPoll: time.Hour,
 	})
+}
+
+func (n *network) startWith(t *testing.T, address string, options Options) func() {
+	t.Helper()
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	options.Logger, options.Seed, options.PeerFetch = logger, 1, n.fetch
+	options.WatcherPoll = 50 * time.Millisecond
+	options.Rollout.MinBackoff = 5 * time.Millisecond
+	options.Rollout.MaxBackoff = 20 * time.Millisecond
+	m := New(options)
 	n.mu.Lock()
 	n.managers[address] = m
 	n.mu.Unlock()
@@ -131,6 +138,35 @@
 	}
 }
 
+func TestStartReadsFromPeersRatherThanTheService(t *testing.T) {
+	plain := kvmem.New(kvmem.Options{})
+	mustCommit(t, committer(plain, "ana"), 0, engineChange("a", "1"))
+	n := &network{managers: make(map[string]*Manager)}
+	n.start(t, "old", plain, true)
+	n.await(t, 1)
+	store := &countingStore{Store: plain}
+	settings := rollout.DefaultSettings()
+	settings.StartGrace = time.Hour
+	stop := n.startWith(t, "new", Options{Store: store, IsWatcher: func() bool { return false }, Rollout: settings, MemberPoll: time.Hour})
+	n.await(t, 1)
+	stop()
+	if store.reads != 0 {
+		t.Errorf("a start beside a running peer made %d reads of the service", store.reads)
+	}
+}
+
+func TestMemberThatBecomesWatcherWatches(t *testing.T) {
+	store := kvmem.New(kvmem.Options{})
+	mustCommit(t, committer(store, "ana"), 0, engineChange("a", "1"))
+	n := &network{managers: make(map[string]*Manager)}
+	var watcher atomic.Bool
+	settings := rollout.DefaultSettings()
+	settings.StartGrace = time.Hour
+	n.startWith(t, "late", Options{Store: store, IsWatcher: watcher.Load, Rollout: settings, MemberPoll: time.Hour})
+	watcher.Store(true)
+	n.await(t, 1)
+}
+
 func TestStartDuringOutage(t *testing.T) {
 	f := &faults{}
 	store := kvmem.New(kvmem.Options{Fault: f.next})
--- a/internal/daemon/node.go
+++ b/internal/daemon/node.go
@@ -29,6 +29,10 @@
 	poolSweep = 30 * time.Second
 	// configFetchTimeout bounds the wait for a peer's configuration.
 	configFetchTimeout = 5 * time.Second
+	// configStartGrace is how long a start waits for the configuration of peers
+	// before it reads that of the key-value service. In a cold start of a whole
+	// fleet, it lets the watchers read first.
+	configStartGrace = 5 * time.Second
 	// closeTimeout bounds the end of servers and exporters.
 	closeTimeout = 3 * time.Second
 )
@@ -84,8 +88,11 @@
 }
 
 func (n *node) newConfig() *configstore.Manager {
+	bounds := rollout.DefaultSettings()
+	bounds.StartGrace = configStartGrace
 	return configstore.New(configstore.Options{
-		Store: n.store, PeerFetch: n.fetchConfig, IsWatcher: n.isWatcher,
+		Rollout: bounds,
+		Store:   n.store, PeerFetch: n.fetchConfig, IsWatcher: n.isWatcher,
 		Registry: n.registry, Logger: n.logger,
 	})
 }
@@ -93,9 +100,13 @@
 func (n *node) drained(upstream string) bool { return n.config.Drained().Has(upstream) }
 
 // isWatcher reports whether this process is among those of its failure domain
-// that watch the key-value service.
+// that watch the key-value service. It isn't before it has read the host list:
+// all processes of a cold start would be.
 func (n *node) isWatcher() bool {
 	view := n.cluster.View()
+	if !view.Listed {
+		return false
+	}
 	members := make([]rollout.Member, 0, len(view.Routers))
 	for _, router := range view.Routers {
 		members = append(members, rollout.Member{Name: router.Name, FailureDomain: router.FailureDomain})
--- a/scripts/capacity.sh
+++ b/scripts/capacity.sh
@@ -1,10 +1,11 @@
 #!/bin/sh
 # Measures the slopes that docs/CAPACITY.md quotes: starts fleets of several
 # sizes on loopback, one after another, measures each, and stops it by its
-# process ids. Output goes to out/capacity.
+# process ids. Output goes to out/capacity. BIN is the directory of the binaries.
 set -u
 cd "$(dirname "$0")/.."
 
+BIN=${BIN:-bin}
 OUT=${OUT:-out/capacity}
 SEED=${SEED:-1}
 FIRST_PORT=${FIRST_PORT:-26000}
@@ -40,16 +41,16 @@
 
 # Ports follow internal/capacity/layout.go.
 start_platform() {
-	start kv bin/vt-standin kv --listen "$(port 0)"
-	start hostlist bin/vt-standin hostlist --listen "$(port 1)" --hosts "$DIR/hosts.yaml"
+	start kv "$BIN"/vt-standin kv --listen "$(port 0)"
+	start hostlist "$BIN"/vt-standin hostlist --listen "$(port 1)" --hosts "$DIR/hosts.yaml"
 	i=0
 	while [ $i -lt $ENGINE_SERVERS ]; do
-		start "engine-server-$i" bin/vt-standin engine --listen "$(port $((5 + i)))" --token-ms 5 --slots 4096
+		start "engine-server-$i" "$BIN"/vt-standin engine --listen "$(port $((5 + i)))" --token-ms 5 --slots 4096
 		i=$((i + 1))
 	done
 	i=0
 	while [ $i -lt $INSTANCES ]; do
-		start "booking-$i" bin/vt-standin service --listen "$(port $((5 + ENGINE_SERVERS + i)))" --name "booking-$i"
+		start "booking-$i" "$BIN"/vt-standin service --listen "$(port $((5 + ENGINE_SERVERS + i)))" --name "booking-$i"
 		i=$((i + 1))
 	done
 	sleep 1
@@ -60,16 +61,16 @@
 	DIR=$OUT/$1
 	rm -rf "$DIR"
 	echo "case $1: $2 routers, $3 listed engines, $4 workspaces"
-	bin/vt-capacity prepare --dir "$DIR" --routers "$2" --engines "$3" --workspaces "$4" --seed "$SEED" --first-port "$FIRST_PORT" || return 1
+	"$BIN"/vt-capacity prepare --dir "$DIR" --routers "$2" --engines "$3" --workspaces "$4" --seed "$SEED" --first-port "$FIRST_PORT" || return 1
 	start_platform
-	if bin/vt-capacity commit --dir "$DIR"; then
-		start directory-1 bin/vt-directory --config "$DIR/directory-1.yaml"
-		case $6 in *steward*) start steward-1 bin/vt-steward --config "$DIR/steward-1.yaml" ;; esac
+	if "$BIN"/vt-capacity commit --dir "$DIR"; then
+		start directory-1 "$BIN"/vt-directory --config "$DIR/directory-1.yaml"
+		case $6 in *steward*) start steward-1 "$BIN"/vt-steward --config "$DIR/steward-1.yaml" ;; esac
 		for settings in "$DIR"/router-*.yaml; do
-			start "$(basename "$settings" .yaml)" bin/vt-router --config "$settings"
+			start "$(basename "$settings" .yaml)" "$BIN"/vt-router --config "$settings"
 		done
 		# In the background, so that a signal is handled at once.
-		start measure bin/vt-capacity measure --dir "$DIR" --out "$OBSERVATIONS" --against "$5" --phases "$6"
+		start measure "$BIN"/vt-capacity measure --dir "$DIR" --out "$OBSERVATIONS" --against "$5" --phases "$6"
 		wait "$(cat "$DIR/measure.pid")"
 	fi
 	stop_all
@@ -99,9 +100,9 @@
 		run_case load 8 48 100 routers start,chats,actions,takeover,lookups,open
 		;;
 	functions)
-		bin/vt-capacity functions --seed "$SEED" --out "$OBSERVATIONS"
+		"$BIN"/vt-capacity functions --seed "$SEED" --out "$OBSERVATIONS"
 		;;
 	esac
 done
-bin/vt-capacity report --observations "$OBSERVATIONS" --markdown "$OUT/report.md" --json "$OUT/report.json" \
+"$BIN"/vt-capacity report --observations "$OBSERVATIONS" --markdown "$OUT/report.md" --json "$OUT/report.json" \
 	--seed "$SEED" --commit "$(git rev-parse --short HEAD)" --command "make capacity SEED=$SEED"
