--- a/internal/capacity/capacity_test.go
+++ b/internal/capacity/capacity_test.go
@@ -76,6 +76,21 @@
 	}
 }
 
+func TestSpreadGrowsWithDoublings(t *testing.T) {
+	figure := spreadFigures[0] + " in force"
+	observations := []Observation{
+		{Figure: figure, Against: AgainstRouters, X: 8, Y: 0}, {Figure: figure, Against: AgainstRouters, X: 20, Y: 1},
+		{Figure: figure, Against: AgainstRouters, X: 40, Y: 1.5}, {Figure: "ping", Against: AgainstRouters, X: 40, Y: 9},
+	}
+	series := NewReport(observations).Series
+	if len(series) != 3 || series[0].Against != againstDoublings || len(series[0].Points) != 2 {
+		t.Fatalf("series = %+v", series)
+	}
+	if fit := series[0].Fit; fit == nil || math.Abs(fit.Slope-0.5) > 1e-9 || math.Abs(fit.Intercept-0.5) > 1e-9 {
+		t.Errorf("fit = %+v, want half a second for each doubling", fit)
+	}
+}
+
 func TestObservationsAreReadAsWritten(t *testing.T) {
 	var file bytes.Buffer
 	if err := WriteObservations(&file, observed()); err != nil {
--- a/internal/capacity/report.go
+++ b/internal/capacity/report.go
@@ -25,7 +25,7 @@
 
 // NewReport fits the observations; the caller fills in how they were made.
 func NewReport(observations []Observation) *Report {
-	r := &Report{Series: Collect(observations)}
+	r := &Report{Series: Collect(withSpread(observations))}
 	for i, o := range observations {
 		if i == 0 || o.Load < r.MinLoad {
 			r.MinLoad = o.Load
--- a/internal/capacity/target.go
+++ b/internal/capacity/target.go
@@ -29,8 +29,10 @@
 	tokensPerRequest := float64(targetTokens) / targetRequests
 	answerSeconds := targetFirstToken + tokensPerRequest*targetSecondsPerToken
 	actions := targetActionShare * targetRequests
+	spread, _ := doublings(targetRouters)
 	return []TargetSize{
 		{AgainstRouters, targetRouters, "daemons, taken as routers"},
+		{againstDoublings, spread, "log2 of daemons by watchers, 2 in each of 5 failure domains"},
 		{AgainstEngines, targetEngines, "engines"},
 		{AgainstWorkspaces, targetWorkspaces, "workspaces"},
 		{againstRequests, targetRequests, "requests/s of the fleet"},
