--- a/cmd/vt-capacity/measure.go
+++ b/cmd/vt-capacity/measure.go
@@ -120,10 +120,14 @@
 	var seed uint64
 	cmd := &cobra.Command{
 		Use:   "functions",
-		Short: "Measure functions that do no I/O, without a fleet",
+		Short: "Measure single functions and sessions, without a fleet",
 		Args:  cobra.NoArgs,
 		RunE: func(*cobra.Command, []string) error {
-			return appendObservations(out, capacity.Functions(seed))
+			observations, err := capacity.Functions(seed)
+			if err != nil {
+				return err
+			}
+			return appendObservations(out, observations)
 		},
 	}
 	addOutFlag(cmd, &out)
--- a/internal/capacity/functions.go
+++ b/internal/capacity/functions.go
@@ -34,15 +34,15 @@
 	workspaceCounts = []int{100, 1_000, 10_000, 30_000}
 )
 
-// Functions measures functions that do no I/O, in this process.
-func Functions(seed uint64) []Observation {
+// Functions measures single functions and idle sessions in this process.
+func Functions(seed uint64) ([]Observation, error) {
 	f := &functions{random: rand.New(rand.NewPCG(seed, 0))}
 	f.chatMemory()
 	f.placement()
 	f.datagrams()
 	f.members()
 	f.declarations()
-	return f.found
+	return f.found, f.sessions()
 }
 
 type functions struct {
