--- a/internal/capacity/capacity_test.go
+++ b/internal/capacity/capacity_test.go
@@ -76,6 +76,21 @@
 	}
 }
 
+func TestSpreadGrowsWithDoublings(t *testing.T) {
+	figure := spreadFigures[0] + " in force"
+	observations := []Observation{
+		{Figure: figure, Against: AgainstRouters, X: 8, Y: 0}, {Figure: figure, Against: AgainstRouters, X: 20, Y: 1},
+		{Figure: figure, Against: AgainstRouters, X: 40, Y: 1.5}, {Figure: "ping", Against: AgainstRouters, X: 40, Y: 9},
+	}
+	series := NewReport(observations).Series
+	if len(series) != 3 || series[0].Against != againstDoublings || len(series[0].Points) != 2 {
+		t.Fatalf("series = %+v", series)
+	}
+	if fit := series[0].Fit; fit == nil || math.Abs(fit.Slope-0.5) > 1e-9 || math.Abs(fit.Intercept-0.5) > 1e-9 {
+		t.Errorf("fit = %+v, want half a second for each doubling", fit)
+	}
+}
+
 func TestObservationsAreReadAsWritten(t *testing.T) {
 	var file bytes.Buffer
 	if err := WriteObservations(&file, observed()); err != nil {
@@ -99,8 +114,9 @@
 	}
 	for _, want := range []string{
 		"`make capacity SEED=7` at commit abc1234, seed 7, on 10 cores", "load average of 1.0 to 3.0",
-		"## Against routers", "| ping | B/s | 4 | 2 | 0 | 4: 12, 8: 20 |",
-		"| chat | s | not fitted | not fitted | not fitted | 1: 0.25 |",
+		"## Against routers", "Target: 410 (daemons, taken as routers).",
+		"| ping | B/s | 4 | 2 | 0 | 824 | 4: 12, 8: 20 |",
+		"| chat | s | not fitted | not fitted | not fitted | not fitted | 1: 0.25 |",
 	} {
 		if !strings.Contains(out.String(), want) {
 			t.Errorf("%q is missing in:\n%s", want, out.String())
@@ -108,6 +124,15 @@
 	}
 }
 
+func TestTargetSizesFollowFromTheStatedOnes(t *testing.T) {
+	for against, want := range map[string]float64{againstTokens: 354.8, againstOpen: 64220, againstJournal: 17437.5, againstChats: 8780} {
+		target, known := targetOf(against)
+		if !known || math.Abs(target.X-want) > want/1000 {
+			t.Errorf("%s: target = %v, want %v", against, target.X, want)
+		}
+	}
+}
+
 func TestLayoutFilesAreValid(t *testing.T) {
 	dir := t.TempDir()
 	layout := NewLayout(Size{Routers: 3, Engines: 6, Workspaces: 10, Models: 2}, 1, 24000)
