--- a/internal/actions/actions.go
+++ b/internal/actions/actions.go
@@ -72,9 +72,10 @@
 			break
 		}
 	}
-	return nil, withHistory(refusal.New(refusal.OwnerUnreachable,
+	// Nobody has looked into the journal: an earlier request may have run it.
+	return nil, refusal.NewUnknown(refusal.OwnerUnreachable,
 		"no router can take the action: resend it with the same key after the given time").
-		WithRetryAfter(retryAfterHolders), reached)
+		WithRetryAfter(retryAfterHolders)
 }
 
 // mayHaveClaimed reports whether a holder that gave no answer may have claimed
@@ -82,7 +83,7 @@
 func mayHaveClaimed(err error) bool {
 	var refused *refusal.Refusal
 	if errors.As(err, &refused) {
-		return refused.Outcome != refusal.NotRun
+		return refused.Kind != refusal.Leaving
 	}
 	return !errors.Is(err, relay.ErrOwnerUnreachable)
 }
@@ -90,8 +91,7 @@
 // holders returns the routers to ask, the computed holder first.
 func (r *Runner) holders(key uuid.UUID) []string {
 	slot := claims.SlotName(r.slotOf(key))
-	names := relay.RouterNames(r.view(), nil)
-	return placement.OwnersInOrder(slot, names, maxHolders)
+	return placement.OwnersInOrder(slot, r.view().Owners, maxHolders)
 }
 
 func (r *Runner) ask(ctx context.Context, name string, request *peerpb.ActionRequest) (*peerpb.ActionResult, error) {
@@ -116,9 +116,7 @@
 	if !reached || refused.Outcome != refusal.NotRun || isFenced(refused.Kind) {
 		return refused
 	}
-	unknown := *refused
-	unknown.Outcome = refusal.Unknown
-	return &unknown
+	return refused.AsUnknown()
 }
 
 func isFenced(kind refusal.Kind) bool {
--- a/internal/cluster/loop.go
+++ b/internal/cluster/loop.go
@@ -197,6 +197,7 @@
 	v.Listed = l.listed
 	v.Routers = routerViews(l.members.Routers(now))
 	v.Owners = ownerNames(v.Routers)
+	v.regionOwners = ownersByRegion(v.Routers, v.Owners)
 	v.Upstreams = upstreamViews(l.members.Upstreams(now))
 	l.gauge("routers").Update(int64(len(v.Routers)))
 	l.gauge("upstreams").Update(int64(len(v.Upstreams)))
@@ -225,11 +226,16 @@
 	if c.result.hosts == nil {
 		return
 	}
-	if !l.listed {
+	first := !l.listed
+	if first {
 		l.listed, l.topologyDirty = true, true
 	}
 	l.daemons = daemonsOf(c.result.hosts)
 	l.perform(now, l.members.HearList(now, c.result.hosts))
+	if first {
+		// The answer tells the newest configuration revision.
+		l.round(now)
+	}
 }
 
 // noteListError logs when the list becomes unavailable and available again.
