--- a/internal/configstore/committer.go
+++ b/internal/configstore/committer.go
@@ -26,6 +26,9 @@
 	Store kv.Store
 	// Author names who commits; conflicts show it to others.
 	Author string
+	// Above is a revision that the next one must exceed; zero means none. It is for
+	// a service that was restored from an older copy, behind what daemons have.
+	Above uint64
 	// Now is the clock of commit times; nil means time.Now.
 	Now func() time.Time
 	// Nonce returns a new unique text; nil means a random UUID.
@@ -103,7 +106,7 @@
 		return nil, &ConflictError{Base: base, Current: head}
 	}
 	p := &plan{base: base, next: Manifest{
-		Revision: base + 1, Nonce: c.options.Nonce(), Author: c.options.Author, CommittedAt: c.options.Now().UTC(),
+		Revision: max(base, c.options.Above) + 1, Nonce: c.options.Nonce(), Author: c.options.Author, CommittedAt: c.options.Now().UTC(),
 	}}
 	versions, err := c.prepareShards(ctx, p, changes)
 	if err != nil {
--- a/internal/configstore/manager_test.go
+++ b/internal/configstore/manager_test.go
@@ -202,6 +202,50 @@
 	}
 }
 
+// TestServiceRestoredFromOlderCopy has members keep what they have when the service
+// comes back with an older revision, and take the next commit above it.
+func TestServiceRestoredFromOlderCopy(t *testing.T) {
+	store := kvmem.New(kvmem.Options{})
+	ana := committer(store, "ana")
+	mustCommit(t, ana, 0, engineChange("a", "1"))
+	older, _, err := store.List(context.Background(), "config/")
+	if err != nil {
+		t.Fatal(err)
+	}
+	n := &network{managers: make(map[string]*Manager)}
+	n.start(t, "0", store, true)
+	n.start(t, "1", store, false)
+	mustCommit(t, ana, 1, engineChange("a", "2"))
+	mustCommit(t, ana, 2, engineChange("a", "3"))
+	n.await(t, 3)
+	restore(t, store, older)
+	above := NewCommitter(CommitterOptions{Store: store, Author: "ana", Above: 3})
+	if revision := mustCommit(t, above, 1, engineChange("b", "1")); revision != 4 {
+		t.Fatal(revision)
+	}
+	n.await(t, 4)
+	mustCommit(t, ana, 4, engineChange("c", "1"))
+	n.await(t, 5)
+	if got := len(n.get("1").Declarations().Engines); got != 3 {
+		t.Fatal("engines", got)
+	}
+}
+
+func restore(t *testing.T, store *kvmem.Store, entries []kv.Entry) {
+	t.Helper()
+	var txn kv.Txn
+	now, _, _ := store.List(context.Background(), "config/")
+	for _, entry := range now {
+		txn.Then = append(txn.Then, kv.Delete(entry.Key))
+	}
+	for _, entry := range entries {
+		txn.Then = append(txn.Then, kv.Put(entry.Key, entry.Value))
+	}
+	if _, err := store.Commit(context.Background(), txn); err != nil {
+		t.Fatal(err)
+	}
+}
+
 // silentStore opens watches that never bring anything.
 type silentStore struct{ kv.Store }
 
--- a/internal/vtctl/apply.go
+++ b/internal/vtctl/apply.go
@@ -26,13 +26,15 @@
 
 // applyResult is the JSON output of apply, drain and undrain.
 type applyResult struct {
-	// Revision holds the changes; it is the newest when there are none.
-	Revision uint64           `json:"revision"`
-	Changes  []declare.Change `json:"changes"`
+	// Revision holds the changes; it is the newest when nothing was committed.
+	Revision  uint64           `json:"revision"`
+	Committed bool             `json:"committed"`
+	Changes   []declare.Change `json:"changes"`
 }
 
 func (c *cli) applyCommand() *cobra.Command {
 	var base string
+	var above uint64
 	command := &cobra.Command{
 		Use: "apply PATH", Short: "Commit declarations as a new revision", Args: arguments(cobra.ExactArgs(1)),
 		Long: `apply makes the declarations at PATH those of the fleet.
@@ -44,15 +46,16 @@
 		Example: "  vtctl apply declarations/\n  vtctl apply declarations/ --base 12",
 	}
 	command.Flags().StringVar(&base, "base", "", "revision that the files are based on, or "+baseCurrent+" to overrule others")
+	command.Flags().Uint64Var(&above, "above", 0, "commit above this revision, after the service was restored from an older copy")
 	command.RunE = func(command *cobra.Command, args []string) error {
 		ctx, cancel := c.limit(command)
 		defer cancel()
-		return c.apply(ctx, args[0], base)
+		return c.apply(ctx, args[0], base, above)
 	}
 	return command
 }
 
-func (c *cli) apply(ctx context.Context, path, base string) error {
+func (c *cli) apply(ctx context.Context, path, base string, above uint64) error {
 	desired, err := declare.Load(path)
 	if err != nil {
 		return err
@@ -62,13 +65,13 @@
 		return err
 	}
 	changes := declare.Diff(current.Declarations, desired.WithDrainsOf(current.Declarations))
-	if len(changes) == 0 {
+	if len(changes) == 0 && above < current.Revision {
 		return c.applied(path, applyResult{Revision: current.Revision})
 	}
 	if err := c.checkBase(ctx, reader, current, changes, path, base); err != nil {
 		return err
 	}
-	committer, err := c.committer()
+	committer, err := c.committer(above)
 	if err != nil {
 		return err
 	}
@@ -76,7 +79,7 @@
 	if err != nil {
 		return err
 	}
-	return c.applied(path, applyResult{revision, changes})
+	return c.applied(path, applyResult{revision, true, changes})
 }
 
 // checkBase refuses changes that would undo commits made after the base.
@@ -135,7 +138,7 @@
 		result.Changes = []declare.Change{}
 	}
 	return c.print(result, func(out io.Writer) {
-		if len(result.Changes) == 0 {
+		if !result.Committed {
 			fmt.Fprintf(out, "no change: revision %d\n", result.Revision)
 			return
 		}
--- a/internal/vtctl/drain.go
+++ b/internal/vtctl/drain.go
@@ -35,7 +35,7 @@
 // setDrained commits the drain on the newest revision. It depends on no other
 // object but the upstream, so a conflict is met by another attempt.
 func (c *cli) setDrained(ctx context.Context, name string, drained bool) error {
-	committer, err := c.committer()
+	committer, err := c.committer(0)
 	if err != nil {
 		return err
 	}
@@ -68,5 +68,5 @@
 		return applyResult{}, err
 	}
 	revision, err := committer.Commit(ctx, current.Revision, changes)
-	return applyResult{revision, changes}, err
+	return applyResult{revision, true, changes}, err
 }
--- a/internal/vtctl/root.go
+++ b/internal/vtctl/root.go
@@ -190,12 +190,13 @@
 	return reader, whole, err
 }
 
-func (c *cli) committer() (*configstore.Committer, error) {
+// committer returns one whose next revision is above a given one.
+func (c *cli) committer(above uint64) (*configstore.Committer, error) {
 	store, err := c.store()
 	if err != nil {
 		return nil, err
 	}
-	return configstore.NewCommitter(configstore.CommitterOptions{Store: store, Author: c.settings.Author}), nil
+	return configstore.NewCommitter(configstore.CommitterOptions{Store: store, Author: c.settings.Author, Above: above}), nil
 }
 
 // arguments checks the number of arguments as a mistake of use.
--- a/internal/vtctl/status.go
+++ b/internal/vtctl/status.go
@@ -208,10 +208,29 @@
 	return pages
 }
 
+// ahead returns the highest revision in force when the service has only a lower
+// one, and zero otherwise.
+func (r statusResult) ahead() uint64 {
+	if r.Newest == nil {
+		return 0
+	}
+	highest := uint64(0)
+	for _, page := range r.pages() {
+		highest = max(highest, page.ConfigRevision)
+	}
+	if highest <= *r.Newest {
+		return 0
+	}
+	return highest
+}
+
 func (r statusResult) text(out io.Writer) {
 	if r.Newest != nil {
 		fmt.Fprintf(out, "newest revision: %d\n", *r.Newest)
 	}
+	if ahead := r.ahead(); ahead > 0 {
+		fmt.Fprintf(out, "daemons have revision %d, which the key-value service lost: run `vtctl apply PATH --base current --above %d`\n", ahead, ahead)
+	}
 	rows := [][]string{{"DAEMON", "ADDRESS", "DOMAIN", "REVISION", "OWNED", "IN FLIGHT", "QUEUED", "REUSE", "CONTROL B/S"}}
 	for _, daemon := range r.Daemons {
 		rows = append(rows, daemon.row())
--- a/internal/vtctl/vtctl_test.go
+++ b/internal/vtctl/vtctl_test.go
@@ -174,7 +174,8 @@
 	defer sparse.Close()
 	addresses := strings.Join([]string{full.Listener.Addr().String(), sparse.Listener.Addr().String()}, ",")
 	text := o.run(ExitDone, "status", "--sample", "1ms", "--routers", addresses)
-	expect(t, text, "newest revision: 1", "router-1", "0.970", "assistant/rental  2          2.00            1.50", "balaju-2")
+	expect(t, text, "newest revision: 1", "daemons have revision 7", "--base current --above 7", "router-1", "0.970", "assistant/rental  2          2.00            1.50", "balaju-2")
+	expect(t, o.run(ExitDone, "apply", o.directory, "--base", "current", "--above", "7"), "committed revision 8")
 	expect(t, o.run(ExitFailed, "status", "--sample", "0", "--routers", addresses+",127.0.0.1:1"), "1 of 3 daemons gave no status")
 	expect(t, o.run(ExitMistake, "status"), "give --routers")
 }
