Averaging: many pools are exchanged in parts

More than about 80 pools didn't fit a datagram. Only pools that a message names are exchanged, so parts can take turns; an epoch is longer by as many.

--- a/internal/averaging/averaging.go
+++ b/internal/averaging/averaging.go
@@ -28,10 +28,14 @@
 	// Epoch numbers the restart that the estimates belong to; zero marks the
 	// sender's own loads.
 	Epoch uint32
-	// Pools is in order of the pools' hashes; pools that are left out are idle.
+	// Pools is in order of the pools' hashes. Only pools that a message names
+	// are exchanged; of loads, those left out are idle.
 	Pools []PoolLoad
 }
 
+// maxPools is the most pools of a message.
+const maxPools = 64
+
 // DirectHosts is the number of routers up to which loads are exchanged
 // themselves.
 const DirectHosts = 24
@@ -55,7 +59,7 @@
 func (a *Averager) BeginRound(hosts int) Message {
 	a.gossip.advance(hosts)
 	if hosts <= DirectHosts {
-		return Message{Epoch: directEpoch, Pools: a.gossip.local.list()}
+		return a.loads()
 	}
 	return a.gossip.message()
 }
@@ -65,11 +69,22 @@
 func (a *Averager) Receive(from string, m Message) Message {
 	if m.Epoch == directEpoch {
 		a.direct.hear(from, m.Pools)
-		return Message{Epoch: directEpoch, Pools: a.gossip.local.list()}
+		return a.loads()
 	}
 	return a.gossip.receive(m)
 }
 
+// loads returns a message with this router's own loads, the largest ones if
+// they are too many.
+func (a *Averager) loads() Message {
+	list := a.gossip.local.list()
+	if len(list) > maxPools {
+		slices.SortStableFunc(list, func(a, b PoolLoad) int { return cmp.Compare(b.InFlight, a.InFlight) })
+		list = list[:maxPools]
+	}
+	return Message{Epoch: directEpoch, Pools: list}
+}
+
 // Complete takes the answer to a message that BeginRound returned. An answer
 // that comes too late is ignored.
 func (a *Averager) Complete(from string, sent, answer Message) {
--- a/internal/averaging/averaging_test.go
+++ b/internal/averaging/averaging_test.go
@@ -142,6 +142,26 @@
 	}
 }
 
+func TestManyPoolsAreExchangedInParts(t *testing.T) {
+	const pools, routers = 150, 40
+	f := newFleet(routers, 7, 0)
+	for _, n := range f.nodes {
+		var list []PoolLoad
+		for p := range uint32(pools) {
+			list = append(list, PoolLoad{Pool: p + 1, InFlight: 1 + float64(f.random.Intn(9))})
+		}
+		n.SetLocal(list)
+		if got := len(n.BeginRound(routers).Pools); got > maxPools {
+			t.Fatalf("%d pools in a message", got)
+		}
+	}
+	const parts = 3
+	f.rounds(2 * (parts*roundsFor(routers) + 1))
+	if _, highest := f.relativeErrors(); highest > 0.05 {
+		t.Errorf("error %.3f", highest)
+	}
+}
+
 func TestDepartedRouterIsForgotten(t *testing.T) {
 	f := newFleet(4, 4, 0)
 	f.rounds(20)
--- a/internal/averaging/pushpull.go
+++ b/internal/averaging/pushpull.go
@@ -42,7 +42,7 @@
 
 // advance counts a round and ends the epoch after its last.
 func (p *pushPull) advance(hosts int) {
-	p.rounds = roundsFor(hosts)
+	p.rounds = roundsFor(hosts) * p.parts()
 	p.round++
 	if p.round > p.rounds {
 		p.settle()
@@ -50,8 +50,27 @@
 	}
 }
 
+// message returns the estimates to exchange in this round: all, or the next
+// part of them when there are more than a message holds.
 func (p *pushPull) message() Message {
-	return Message{Epoch: p.epoch, Pools: p.estimate.list()}
+	list := p.estimate.list()
+	parts := p.parts()
+	part := p.round % parts
+	return Message{Epoch: p.epoch, Pools: list[part*len(list)/parts : (part+1)*len(list)/parts]}
+}
+
+// parts returns the number of messages that hold all estimates.
+func (p *pushPull) parts() int {
+	return max(1, (len(p.estimate)+maxPools-1)/maxPools)
+}
+
+// answerTo returns the estimates of the pools that a message names.
+func (p *pushPull) answerTo(m Message) Message {
+	answer := Message{Epoch: p.epoch}
+	for _, l := range m.Pools {
+		answer.Pools = append(answer.Pools, PoolLoad{Pool: l.Pool, InFlight: p.estimate[l.Pool]})
+	}
+	return answer
 }
 
 // joinNewer moves to an epoch that others have begun.
@@ -63,12 +82,13 @@
 	p.restart(epoch)
 }
 
-// receive answers a message and moves the estimate half way to it. A message
+// receive answers a message and moves the estimates of its pools half way to
+// it. A message
 // of an older epoch only gets the answer, from which its sender learns of the
 // newer one.
 func (p *pushPull) receive(m Message) Message {
 	p.joinNewer(m.Epoch)
-	answer := p.message()
+	answer := p.answerTo(m)
 	if m.Epoch == p.epoch {
 		p.moveHalfWay(loadsOf(answer.Pools), loadsOf(m.Pools))
 	}
