--- a/internal/standin/engine/server_test.go
+++ b/internal/standin/engine/server_test.go
@@ -9,6 +9,7 @@
 	"net/http/httptest"
 	"strconv"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -90,6 +91,12 @@
 // read reads a stream until it ends, or has given a number of chunks if that
 // is above zero.
 func (f *fixture) read(body io.Reader, limit int) received {
+	f.t.Helper()
+	return f.readUntil(body, func(got received) bool { return len(got.chunks) == limit })
+}
+
+// readUntil reads a stream until it ends or stop returns true.
+func (f *fixture) readUntil(body io.Reader, stop func(received) bool) received {
 	f.t.Helper()
 	var out received
 	scanner := bufio.NewScanner(body)
@@ -115,7 +122,7 @@
 			f.t.Fatal(err)
 		}
 		out.chunks = append(out.chunks, chunk)
-		if len(out.chunks) == limit {
+		if stop(out) {
 			return out
 		}
 	}
@@ -213,20 +220,21 @@
 
 func TestSwappedChunksCarryTheOtherRequest(t *testing.T) {
 	f := newFixture(t, nil)
+	long := f.chat("long", 100_000, user("first"))
 	f.server.Faults.Update(func(v *Faults) { v.SwapChunks = 1 })
-	a := f.chat("a", 50, user("first"))
-	b := f.chat("b", 50, user("second"))
 	foreign := 0
-	for id, resp := range map[string]*http.Response{"a": a, "b": b} {
-		for _, chunk := range f.read(resp.Body, 0).chunks {
-			if chunk.ID != id {
-				foreign++
-			}
+	for _, chunk := range f.read(f.chat("short", 50, user("second")).Body, 0).chunks {
+		if chunk.ID == "long" {
+			foreign++
 		}
 	}
-	if foreign != 2 || f.server.State().ChunksSwapped != 1 {
+	if foreign != 1 || f.server.State().ChunksSwapped != 1 {
 		t.Fatalf("%d foreign chunks, state %+v", foreign, f.server.State())
 	}
+	got := f.readUntil(long.Body, func(r received) bool { return r.chunks[len(r.chunks)-1].ID == "short" })
+	if got.done {
+		t.Fatal("the other stream got no foreign chunk")
+	}
 }
 
 func TestDuplicatedChunk(t *testing.T) {
@@ -301,7 +309,8 @@
 }
 
 func TestLoadOrderReadsTheWeightStore(t *testing.T) {
-	store := httptest.NewServer(weights.New(weights.Config{LoadsPerMinute: 1, Burst: 1, SizeBytes: 10}))
+	weightServer := weights.New(weights.Config{LoadsPerMinute: 1, Burst: 1, SizeBytes: 10})
+	store := httptest.NewServer(weightServer)
 	defer store.Close()
 	f := newFixture(t, func(c *Config) { c.Models, c.WeightStore = []string{"a"}, store.URL })
 	for i, want := range []int{http.StatusOK, http.StatusServiceUnavailable} {
@@ -311,6 +320,13 @@
 			t.Fatalf("load %d: status %d", i, resp.StatusCode)
 		}
 	}
+	old := engineapi.Order{Fence: 0, Action: actionLoad, Model: "old"}
+	if resp := f.send(http.MethodPost, engineapi.PathOrders, "", old); resp.StatusCode != http.StatusConflict {
+		t.Fatalf("old fence: status %d", resp.StatusCode)
+	}
+	if state := weightServer.State(); state.Served != 1 || state.RateLimited != 1 {
+		t.Fatalf("an order with an old fence reached the store: %+v", state)
+	}
 	if models := f.server.orderState().Models; strings.Join(models, " ") != "a m0" {
 		t.Fatalf("models %v", models)
 	}
@@ -349,6 +365,20 @@
 	}
 }
 
+func TestFreezeFollowsTheLastChangeOfFaults(t *testing.T) {
+	s := New(DefaultConfig())
+	for range 20_000 {
+		s.Faults.Update(func(v *Faults) { v.Frozen = true })
+		var group sync.WaitGroup
+		group.Go(func() { s.Faults.Update(func(v *Faults) { v.DuplicateChunks++ }) })
+		group.Go(func() { s.Faults.Update(func(v *Faults) { v.Frozen = false }) })
+		group.Wait()
+		if s.thawed != nil {
+			t.Fatal("still frozen")
+		}
+	}
+}
+
 func TestInvalidRequests(t *testing.T) {
 	f := newFixture(t, func(c *Config) { c.Models = []string{"m"} })
 	for _, tc := range []struct {
