Directory: the router is picked by the chat, not by its first engine

Routers remember where their callers' chats ran. The owner of the first engine in rank changes when an engine joins, so a chat's caller was sent to a router that knew nothing of it.

The price is a hop between routers for most chats, which the owner's address had saved.

--- a/internal/cluster/view.go
+++ b/internal/cluster/view.go
@@ -83,12 +83,18 @@
 // OwnersInOrder returns the first n routers in the order in which they would
 // own an upstream if those before them failed.
 func (v *View) OwnersInOrder(upstream string, n int) []string {
+	return v.RoutersFor(upstream, upstream, n)
+}
+
+// RoutersFor returns the first n routers for a key, such as a chat's, those in
+// the region of an upstream first.
+func (v *View) RoutersFor(key, upstream string, n int) []string {
 	near := v.nearOwners(upstream)
-	order := placement.OwnersInOrder(upstream, near, n)
+	order := placement.OwnersInOrder(key, near, n)
 	if len(order) == n || len(near) == len(v.Owners) {
 		return order
 	}
-	return append(order, placement.OwnersInOrder(upstream, without(v.Owners, near), n-len(order))...)
+	return append(order, placement.OwnersInOrder(key, without(v.Owners, near), n-len(order))...)
 }
 
 // nearOwners returns the owners in an upstream's region, or all.
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -77,42 +77,53 @@
 	if r.Method != http.MethodGet {
 		return nil, refusal.New(refusal.MethodNotAllowed, "address lookups take GET only")
 	}
-	name, revision, refused := d.ownedName(r)
+	route, refused := d.routeOf(r)
 	if refused != nil {
 		return nil, refused
 	}
-	return d.routersFor(name, revision)
+	return d.routersFor(route)
 }
 
-// ownedName returns the upstream or key whose owner the caller should use.
-func (d *Directory) ownedName(r *http.Request) (string, uint64, *refusal.Refusal) {
+// route is what the choice of a router depends on.
+type route struct {
+	// key is the chat, so that a chat keeps its router, which remembers where
+	// the chat ran, while engines come and go.
+	key string
+	// upstream is the first engine in rank, whose region is preferred.
+	upstream string
+	revision uint64
+}
+
+// routeOf returns what to choose the router of a request by.
+func (d *Directory) routeOf(r *http.Request) (route, *refusal.Refusal) {
 	query := r.URL.Query()
 	workspace, model, chat := query.Get("workspace"), query.Get("model"), query.Get("chat")
 	if workspace == "" {
-		return "", 0, refusal.New(refusal.BadRequest, "parameter workspace is missing: name the workspace")
+		return route{}, refusal.New(refusal.BadRequest, "parameter workspace is missing: name the workspace")
 	}
 	if model == "" {
-		return "workspace/" + workspace + "/" + query.Get("service"), 0, nil
+		return route{key: "workspace/" + workspace + "/" + query.Get("service")}, nil
 	}
-	plan, refused := d.planner.Plan(workspace, model, relay.ChatAffinity(workspace, chat), fleet.KindEngine)
+	affinity := relay.ChatAffinity(workspace, chat)
+	plan, refused := d.planner.Plan(workspace, model, affinity, fleet.KindEngine)
 	if refused == nil {
-		return plan.Ranked[0], plan.Revision, nil
+		return route{key: "chat/" + affinity, upstream: plan.Ranked[0], revision: plan.Revision}, nil
 	}
 	if refused.RetryAfter > 0 {
 		// Any router can tell the caller when to come back.
-		return "workspace/" + workspace, 0, nil
+		return route{key: "workspace/" + workspace}, nil
 	}
-	return "", 0, refused
+	return route{}, refused
 }
 
-func (d *Directory) routersFor(name string, revision uint64) (*Answer, *refusal.Refusal) {
+func (d *Directory) routersFor(r route) (*Answer, *refusal.Refusal) {
 	view := d.view()
-	owners := view.OwnersInOrder(name, alternateCount+1)
+	owners := view.RoutersFor(r.key, r.upstream, alternateCount+1)
 	if len(owners) == 0 {
 		return nil, refusal.New(refusal.OwnerUnreachable, "no router is known to be live: retry after the given time").
 			WithRetryAfter(retryAfter)
 	}
-	answer := &Answer{Host: owners[0], ValidForMS: d.validFor.Milliseconds(), ConfigRevision: revision, Alternates: []string{}}
+	answer := &Answer{Host: owners[0], ValidForMS: d.validFor.Milliseconds(), ConfigRevision: r.revision, Alternates: []string{}}
 	for i, owner := range owners {
 		router, _ := view.Router(owner)
 		if i == 0 {
--- a/internal/placement/measure_test.go
+++ b/internal/placement/measure_test.go
@@ -89,6 +89,9 @@
 		planned: true, remembers: true, patience: 3, headroom: measuredHeadroom,
 		holdDown: membership.DefaultSettings(), rank: byStrategy(placement.Rendezvous{}),
 	}
+	byEngine, asNew := base, base
+	byEngine.byEngine = true
+	asNew.byEngine, asNew.unknownIsNew = true, true
 	stale, flapping, forgetful := base, base, base
 	stale.staleLists = true
 	flapping.flapping = true
@@ -102,6 +105,8 @@
 		holdDown membership.Settings
 	}{
 		{"undisturbed", base, base.holdDown},
+		{"router by first engine", byEngine, base.holdDown},
+		{"router by first engine, as new", asNew, base.holdDown},
 		{"lists differ for 5 s", stale, base.holdDown},
 		{"flapping, hold-down", flapping, base.holdDown},
 		{"flapping, no hold-down", flapping, noHoldDown},
--- a/internal/placement/replay_test.go
+++ b/internal/placement/replay_test.go
@@ -44,6 +44,7 @@
 	prefix    int // tokens of earlier turns
 	added     int // tokens of this turn
 	decode    time.Duration
+	memory    *placement.Memory // of the router that the caller connects to
 }
 
 // recordArrivals draws the sequence for a mean number of requests in flight
@@ -147,6 +148,11 @@
 	remembers bool
 	patience  float64 // factor of placement.Patience
 	headroom  float64
+	// byEngine lets callers connect to the owner of the first engine in rank,
+	// not to a router that is chosen by the chat.
+	byEngine bool
+	// unknownIsNew treats chats that the router doesn't remember as new.
+	unknownIsNew bool
 	// staleLists lets every other turn be ranked by the former list of engines
 	// for a while after a replacement.
 	staleLists bool
@@ -197,11 +203,12 @@
 	nonce   uint64
 	done    completions
 	waiting map[uint64]queuedTurn
-	memory  *placement.Memory
-	members *membership.Members
-	former  *replayEngine // replaced last
-	means   []float64     // history, one a second
-	result  result
+	// memories are those of the routers.
+	memories map[string]*placement.Memory
+	members  *membership.Members
+	former   *replayEngine // replaced last
+	means    []float64     // history, one a second
+	result   result
 }
 
 // result is what a replay measures after the warm-up.
@@ -230,7 +237,10 @@
 
 func (r *replay) run(arrivals []arrival) result {
 	r.waiting = map[uint64]queuedTurn{}
-	r.memory = placement.NewMemory(rememberedChats)
+	r.memories = make(map[string]*placement.Memory)
+	for _, name := range routerNames {
+		r.memories[name] = placement.NewMemory(rememberedChats)
+	}
 	r.members = membership.New(membership.Options{
 		Self: hostlist.Host{Name: "router", Kind: hostlist.KindRouter}, Settings: r.policy.holdDown,
 	})
@@ -330,6 +340,7 @@
 func (r *replay) arrive(a arrival) {
 	r.nonce++
 	order := r.policy.rank(r, a, r.nonce)
+	a.memory = r.memories[r.routerOf(a, order)]
 	if r.now >= warmUp {
 		r.result.turns++
 	}
@@ -340,6 +351,18 @@
 	r.ask(a, r.asks(a, order), r.now)
 }
 
+var routerNames = []string{"router-1", "router-2", "router-3", "router-4"}
+
+// routerOf returns the router that the directory names for a chat.
+func (r *replay) routerOf(a arrival, order []*replayEngine) string {
+	key := order[0].name
+	if !r.policy.byEngine {
+		key = fmt.Sprint("chat-", a.chat)
+	}
+	router, _ := placement.Owner(key, routerNames)
+	return router
+}
+
 func (r *replay) asks(a arrival, order []*replayEngine) []placement.Ask {
 	var ranked []string
 	for _, e := range order {
@@ -349,10 +372,10 @@
 		return inRank(ranked)
 	}
 	cached := 0
-	if a.prefix > 0 {
+	if a.prefix > 0 && !r.policy.unknownIsNew {
 		cached = 1
 	}
-	if places, ok := r.memory.Recall(uint64(a.chat)); ok && r.policy.remembers {
+	if places, ok := a.memory.Recall(uint64(a.chat)); ok && r.policy.remembers {
 		cached = places.Promote(ranked)
 	}
 	return placement.Asks(ranked, placement.AskOptions{
@@ -442,8 +465,8 @@
 	cached := min(e.cache.tokens(a.chat), a.prefix)
 	e.cache.put(a.chat, a.prefix+a.added)
 	e.inFlight++
-	last, known := r.memory.Recall(uint64(a.chat))
-	r.memory.Remember(uint64(a.chat), e.name)
+	last, known := a.memory.Recall(uint64(a.chat))
+	a.memory.Remember(uint64(a.chat), e.name)
 	prefill := seconds(float64(a.prefix+a.added-cached) / prefillPerSecond)
 	heap.Push(&r.done, completion{at: r.now + prefill + a.decode, id: id, engine: e})
 	if r.now < warmUp {
