Owner: resumed streams count against the bound; hanging engines are left at once

The samples show two causes. After a router was killed, its successor let 24 requests onto an engine at a mean of 18: streams that callers resumed there were not part of what admission compared with the bound, and until the engine's first report nothing stood for the former owner's requests. After a frozen engine came back it ran 37 at a mean of 20: streams that had gone on elsewhere, and requests that waited ten seconds for a first token. Resumed streams now count, a new owner assumes the mean until a report, abandoned streams are cancelled once the engine answers, a stalled resume ends all waits for first tokens there, and queues of engines out of use are refused. An answer whose last token came before the crash is not continued past max_tokens.

--- a/internal/engineclient/client.go
+++ b/internal/engineclient/client.go
@@ -90,20 +90,20 @@
 	return c.open(ctx, httpRequest, requestID, after, c.stall)
 }
 
-// Cancel ends a stream whose caller has gone. Failures are of no consequence:
-// engines drop streams without a reader by themselves.
-func (c *Client) Cancel(address, streamID string) {
-	ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
+// Cancel ends a stream that nobody reads any longer. An error means that the
+// engine didn't answer; it may run the stream for a while yet.
+func (c *Client) Cancel(ctx context.Context, address, streamID string) error {
+	ctx, cancel := context.WithTimeout(ctx, cancelTimeout)
 	defer cancel()
 	request, err := sling.New().Base("http://" + address).Delete(engineapi.PathStreams + streamID).Request()
 	if err != nil {
-		return
+		return errors.Wrap(err, "cancel request")
 	}
 	response, err := c.http.Do(request.WithContext(ctx))
 	if err != nil {
-		return
+		return errors.Wrap(ErrNotStarted, err.Error())
 	}
-	_ = response.Body.Close()
+	return response.Body.Close()
 }
 
 func (c *Client) open(ctx context.Context, request *http.Request, requestID string, first uint32,
--- a/internal/owner/chat.go
+++ b/internal/owner/chat.go
@@ -32,6 +32,8 @@
 	received uint32
 	resumes  int
 	sink     Sink
+	// onToken is called after each token.
+	onToken func()
 }
 
 func (o *Owner) serveChat(ctx context.Context, request *peerpb.ForwardRequest, t *target,
@@ -43,6 +45,9 @@
 	if refused != nil {
 		return refused
 	}
+	if body.MaxTokens == noTokensLeft {
+		return sendCompleted(sink, t.declared.Name, call)
+	}
 	slot, refused := o.admit(ctx, request, t, sink)
 	if refused != nil {
 		return refused
@@ -54,6 +59,9 @@
 	priority := fleet.Priority(request.GetPriority()).String()
 	ctx, span := telemetry.StartSpan(ctx, "engine.stream", attribute.String("engine", t.declared.Name))
 	defer span.End()
+	ctx, started := slot.gate.firstTokenContext(ctx)
+	defer started()
+	run.onToken = started
 	stream, err := o.Engines.Start(ctx, t.address, run.requestID, priority, body)
 	if err != nil {
 		failure := run.startFailure(err)
@@ -69,11 +77,11 @@
 	run := &chatRun{
 		owner: o, target: t, requestID: call.GetStreamRequestId(),
 		fingerprint: request.GetFingerprint(), base: call.GetBaseToken(),
-		received: call.GetAfterToken(), sink: sink,
+		received: call.GetAfterToken(), sink: sink, onToken: func() {},
 	}
 	slot := o.detached.take(call.GetStreamId())
 	if slot == nil {
-		slot = o.gates.gate(t.declared).force(request)
+		slot = o.gates.gate(t.declared).force()
 	}
 	stream, err := o.Engines.Resume(ctx, t.address, run.requestID, call.GetStreamId(), run.received)
 	if err != nil {
@@ -97,11 +105,35 @@
 	body.Messages = append(body.Messages, engineapi.Message{Role: "assistant", Content: call.GetGeneratedText()})
 	body.ContinueFinalMessage = true
 	if body.MaxTokens > 0 {
-		body.MaxTokens -= int(call.GetGeneratedTokens())
+		body.MaxTokens = remainingTokens(body.MaxTokens, call)
 	}
 	return body, nil
 }
 
+// noTokensLeft marks an answer that had all its tokens when its engine failed.
+const noTokensLeft = -1
+
+func remainingTokens(maxTokens int, call *peerpb.ChatCall) int {
+	left := maxTokens - int(call.GetGeneratedTokens())
+	if left <= 0 {
+		return noTokensLeft
+	}
+	return left
+}
+
+// sendCompleted ends an answer whose last token came before its engine failed.
+func sendCompleted(sink Sink, upstream string, call *peerpb.ChatCall) error {
+	head := &peerpb.ResponseHead{Upstream: upstream, BaseToken: call.GetGeneratedTokens()}
+	if err := sink(&peerpb.ForwardEvent{Event: &peerpb.ForwardEvent_Head{Head: head}}); err != nil {
+		return sinkError(err)
+	}
+	end := &peerpb.AnswerEnd{FinishReason: finishLength, CompletionTokens: call.GetGeneratedTokens()}
+	return sinkError(sink(&peerpb.ForwardEvent{Event: &peerpb.ForwardEvent_End{End: end}}))
+}
+
+// finishLength is the finish reason of an answer that reached max_tokens.
+const finishLength = "length"
+
 // serve passes the stream on, and resumes it on new connections while the
 // engine still holds it.
 func (r *chatRun) serve(ctx context.Context, stream *engineclient.Stream, slot *slot) error {
@@ -124,6 +156,10 @@
 		next, err := r.reopen(ctx, streamID, err)
 		if err != nil {
 			failure := r.resumeFailure(err)
+			if errors.Is(err, engineclient.ErrStalled) {
+				slot.gate.hang()
+				r.owner.abandoned.add(r.target.address, streamID)
+			}
 			slot.release(EndCut)
 			return failure
 		}
@@ -143,6 +179,7 @@
 			return err
 		}
 		r.received = token.Index + 1
+		r.onToken()
 		if err := r.sendToken(token); err != nil {
 			return err
 		}
--- a/internal/owner/detached.go
+++ b/internal/owner/detached.go
@@ -1,6 +1,7 @@
 package owner
 
 import (
+	"context"
 	"sync"
 	"time"
 
@@ -37,7 +38,7 @@
 	time.AfterFunc(resumeGrace, func() {
 		if left := streams.take(id); left != nil {
 			left.release(EndCut)
-			r.owner.Engines.Cancel(address, id)
+			_ = r.owner.Engines.Cancel(context.Background(), address, id)
 		}
 	})
 }
--- a/internal/owner/gate.go
+++ b/internal/owner/gate.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/verbenatrail/verbenatrail/internal/admission"
+	"github.com/verbenatrail/verbenatrail/internal/engineclient"
 	"github.com/verbenatrail/verbenatrail/internal/fleet"
 	"github.com/verbenatrail/verbenatrail/internal/peerpb"
 	"github.com/verbenatrail/verbenatrail/internal/refusal"
@@ -29,7 +30,15 @@
 	nextID    uint64
 	waiters   map[uint64]chan admission.Effect
 	// forced counts streams that run without an admission, being resumed.
-	forced int
+	forced  int
+	resumed map[*slot]struct{}
+	// foreign estimates what a former owner still runs on the upstream.
+	foreign int
+	// waits ends the waits for first tokens when the upstream hangs.
+	waits    context.Context
+	endWaits context.CancelCauseFunc
+	// suspended is set while the upstream takes no new work.
+	suspended bool
 	// mean is the latest expected load.
 	mean float64
 }
@@ -39,16 +48,20 @@
 	gate     *gate
 	id       uint64
 	forced   bool
+	started  time.Time
 	finished func(end End)
 	once     sync.Once
 }
 
 func newGate(name string, settings admission.Settings, capacity int) *gate {
-	return &gate{
+	g := &gate{
 		name:      name,
 		scheduler: admission.New(settings, capacity),
 		waiters:   make(map[uint64]chan admission.Effect),
+		resumed:   make(map[*slot]struct{}),
 	}
+	g.waits, g.endWaits = context.WithCancelCause(context.Background())
+	return g
 }
 
 // offer asks for a place. The channel delivers the end of the wait when the
@@ -80,11 +93,20 @@
 }
 
 // force takes a place without admission: the engine runs the stream already.
-func (g *gate) force(request *peerpb.ForwardRequest) *slot {
+func (g *gate) force() *slot {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.forced++
-	return &slot{gate: g, forced: true, finished: func(End) {}}
+	s := &slot{gate: g, forced: true, started: time.Now(), finished: func(End) {}}
+	g.resumed[s] = struct{}{}
+	g.addForced(1)
+	return s
+}
+
+// addForced changes the number of resumed streams, which count against the
+// bound like a former owner's.
+func (g *gate) addForced(n int) {
+	g.forced += n
+	g.deliver(g.scheduler.SetForeignLoad(time.Now(), g.foreign+g.forced))
 }
 
 func (g *gate) cancel(now time.Time, id uint64) {
@@ -107,7 +129,43 @@
 func (g *gate) setForeign(now time.Time, load int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.deliver(g.scheduler.SetForeignLoad(now, load))
+	g.foreign = load
+	g.deliver(g.scheduler.SetForeignLoad(now, g.foreign+g.forced))
+}
+
+// suspend refuses all waiting requests while the upstream takes no new work.
+func (g *gate) suspend(now time.Time, suspended bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if suspended == g.suspended {
+		return
+	}
+	g.suspended = suspended
+	if suspended {
+		g.deliver(g.scheduler.Drain(now))
+		return
+	}
+	g.scheduler.Resume()
+}
+
+// firstTokenContext returns a context that also ends, with
+// engineclient.ErrStalled, when the upstream is found to hang. The returned
+// function ends that after the first token.
+func (g *gate) firstTokenContext(ctx context.Context) (context.Context, func()) {
+	g.mu.Lock()
+	waits := g.waits
+	g.mu.Unlock()
+	ctx, cancel := context.WithCancelCause(ctx)
+	stop := context.AfterFunc(waits, func() { cancel(engineclient.ErrStalled) })
+	return ctx, func() { stop() }
+}
+
+// hang ends all waits for first tokens: the upstream answers nobody.
+func (g *gate) hang() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.endWaits(engineclient.ErrStalled)
+	g.waits, g.endWaits = context.WithCancelCause(context.Background())
 }
 
 func (g *gate) inFlight() int {
@@ -135,7 +193,8 @@
 		s.gate.mu.Lock()
 		defer s.gate.mu.Unlock()
 		if s.forced {
-			s.gate.forced--
+			delete(s.gate.resumed, s)
+			s.gate.addForced(-1)
 			return
 		}
 		s.gate.deliver(s.gate.scheduler.Finish(time.Now(), s.id))
--- a/internal/owner/gateset.go
+++ b/internal/owner/gateset.go
@@ -104,6 +104,7 @@
 	for _, g := range s.all() {
 		if upstream := snapshot.Upstreams[g.name]; upstream != nil {
 			g.tick(now, upstream.Capacity, s.mean(upstream))
+			g.suspend(now, s.options.View().Upstreams[g.name].State != cluster.Live)
 			continue
 		}
 		s.drop(g)
--- a/internal/owner/overlap.go
+++ b/internal/owner/overlap.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"math"
 	"net"
 	"net/http"
 	"sync"
@@ -40,6 +41,8 @@
 // the report speaks of.
 type overlap struct {
 	samples []loadSample
+	// reported is set after the first report.
+	reported bool
 }
 
 // record keeps a sample of the own load.
@@ -74,6 +77,7 @@
 	defer cancel()
 	defer func() { g.setForeign(time.Now(), 0) }()
 	estimate := &overlap{}
+	g.assumeMean(time.Now())
 	samples := time.NewTicker(sampleInterval)
 	defer samples.Stop()
 	reports := time.NewTicker(reportInterval)
@@ -84,6 +88,9 @@
 			return
 		case now := <-samples.C:
 			estimate.record(loadSample{at: now, inFlight: g.inFlight()})
+			if !estimate.reported {
+				g.assumeMean(now)
+			}
 		case <-reports.C:
 			o.updateForeign(ctx, g, estimate)
 		}
@@ -95,8 +102,33 @@
 	if err != nil {
 		return
 	}
+	estimate.reported = true
 	measuredAt := time.UnixMilli(report.MeasuredAtMS)
-	g.setForeign(time.Now(), estimate.foreign(report.Running+report.Waiting, measuredAt))
+	resumed := g.resumedSince(measuredAt.Add(-clockAllowance))
+	g.setForeign(time.Now(), max(0, estimate.foreign(report.Running+report.Waiting, measuredAt)-resumed))
+}
+
+// assumeMean counts a former owner's requests up to the pool's mean, until the
+// upstream has reported its load.
+func (g *gate) assumeMean(now time.Time) {
+	g.mu.Lock()
+	mean, own := g.mean, g.scheduler.InFlight()+g.forced
+	g.mu.Unlock()
+	g.setForeign(now, max(0, int(math.Ceil(mean))-own))
+}
+
+// resumedSince counts the running streams that were resumed here after a time:
+// an earlier report has counted them as the former owner's.
+func (g *gate) resumedSince(at time.Time) int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	count := 0
+	for s := range g.resumed {
+		if s.started.After(at) {
+			count++
+		}
+	}
+	return count
 }
 
 var errNoReport = errors.New("upstream gave no load report")
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -73,15 +73,18 @@
 	gates *gateSet
 	// detached are streams whose caller has gone but may come back.
 	detached *detachedStreams
+	// abandoned are streams that went on elsewhere while their engine hung.
+	abandoned *abandonedStreams
 }
 
 // New returns an owner; Run must be started for its timers.
 func New(options Options) *Owner {
-	return &Owner{Options: options, gates: newGateSet(options), detached: newDetachedStreams()}
+	return &Owner{Options: options, gates: newGateSet(options), detached: newDetachedStreams(), abandoned: newAbandonedStreams()}
 }
 
 // Run drives the timers of all gates until the context ends.
 func (o *Owner) Run(ctx context.Context) error {
+	go o.abandoned.run(ctx, o.Engines)
 	ticker := time.NewTicker(gateTick)
 	defer ticker.Stop()
 	for {
--- a/internal/owner/settings.go
+++ b/internal/owner/settings.go
@@ -20,7 +20,7 @@
 
 const (
 	defaultFirstTokenTimeout = 10 * time.Second
-	defaultStallTimeout      = 2 * time.Second
+	defaultStallTimeout      = time.Second
 	defaultServiceTimeout    = 30 * time.Second
 )
 
--- a/internal/relay/failure.go
+++ b/internal/relay/failure.go
@@ -43,7 +43,9 @@
 		return s.afterNoRoom(a, refused)
 	case refusal.StreamLost:
 		return s.afterStreamLost(ctx, a, refused)
-	case refusal.UpstreamFailed, refusal.NoLiveUpstream, refusal.Leaving, refusal.TooManyHops:
+	case refusal.Leaving:
+		return s.afterLeaving(a, refused)
+	case refusal.UpstreamFailed, refusal.NoLiveUpstream, refusal.TooManyHops:
 		return s.afterUpstreamFailure(ctx, a, refused)
 	default:
 		return s.final(refused)
@@ -64,6 +66,17 @@
 	return nil
 }
 
+// afterLeaving goes on elsewhere at no cost for the retry budget: an upstream
+// that takes no new work is named once in a call.
+func (s *session) afterLeaving(a attempt, refused *refusal.Refusal) *refusal.Refusal {
+	if s.resumeOnly || (s.headSent && s.call.Chat == nil) {
+		return s.final(refused)
+	}
+	s.progress.failed = append(s.progress.failed, a.ask.Upstream)
+	s.progress.stream = Position{}
+	return nil
+}
+
 // afterStreamLost goes on at another engine with the text that came so far.
 func (s *session) afterStreamLost(ctx context.Context, a attempt, refused *refusal.Refusal) *refusal.Refusal {
 	if s.resumeOnly {
