--- a/internal/configstore/follow.go
+++ b/internal/configstore/follow.go
@@ -85,7 +85,15 @@
 	if err != nil {
 		return err
 	}
-	seen := polled
+	return m.followWatch(ctx, batches, watchProgress{polled: polled, seen: polled})
+}
+
+// watchProgress compares what a watch brought with what polls read.
+type watchProgress struct {
+	polled, seen uint64
+}
+
+func (m *Manager) followWatch(ctx context.Context, batches <-chan kv.WatchBatch, progress watchProgress) error {
 	timer := time.NewTimer(jitter(m.options.WatcherPoll))
 	defer timer.Stop()
 	for {
@@ -98,17 +106,12 @@
 			if err != nil {
 				return err
 			}
-			seen = max(seen, newest)
+			progress.seen = max(progress.seen, newest)
 		case <-timer.C:
 			if !m.options.IsWatcher() {
 				return nil
 			}
-			// The watch has had a whole interval to bring what was polled last.
-			if polled > seen {
-				m.counters.silent.Inc(1)
-				return errors.WithMessage(kv.ErrUnavailable, "watch is silent")
-			}
-			if polled, err = m.poll(ctx); err != nil {
+			if err := m.checkWatch(ctx, &progress); err != nil {
 				return err
 			}
 			timer.Reset(jitter(m.options.WatcherPoll))
@@ -118,6 +121,18 @@
 	}
 }
 
+// checkWatch finds a silent watch: it has had a whole interval to bring what was
+// polled last.
+func (m *Manager) checkWatch(ctx context.Context, progress *watchProgress) error {
+	if progress.polled > progress.seen {
+		m.counters.silent.Inc(1)
+		return errors.WithMessage(kv.ErrUnavailable, "watch is silent")
+	}
+	polled, err := m.poll(ctx)
+	progress.polled = polled
+	return err
+}
+
 // watchPosition returns the service's revision that a watch starts after.
 func (m *Manager) watchPosition(ctx context.Context) (int64, error) {
 	limited, cancel := context.WithTimeout(ctx, storeCallLimit)
--- a/internal/configstore/manager.go
+++ b/internal/configstore/manager.go
@@ -1,6 +1,7 @@
 package configstore
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"sync"
@@ -53,7 +54,7 @@
 	IsWatcher func() bool
 	// Rollout bounds the decisions; the zero value means the defaults.
 	Rollout rollout.Settings
-	// WatcherPoll and MemberPoll default to the constants above.
+	// WatcherPoll and MemberPoll default, when zero, to the constants above.
 	WatcherPoll, MemberPoll time.Duration
 	// Registry receives the counters; nil means a new registry.
 	Registry metrics.Registry
@@ -108,37 +109,40 @@
 
 // New returns a Manager without a configuration; Run starts it.
 func New(options Options) *Manager {
-	if options.IsWatcher == nil {
-		options.IsWatcher = func() bool { return true }
+	options = options.withDefaults()
+	m := &Manager{
+		options: options, counters: newCounters(options.Registry), inbox: make(chan message, inboxSize),
+		whole: rate.NewLimiter(wholeCopiesPerSecond, wholeCopyBurst),
 	}
-	if options.Rollout == (rollout.Settings{}) {
-		options.Rollout = rollout.DefaultSettings()
-	}
-	if options.PeerFetch == nil {
-		// There are no peers to wait for.
-		options.Rollout.StartGrace = 0
+	if options.Store != nil {
+		m.reader = &Reader{store: options.Store, bytes: m.counters.storeBytes}
 	}
-	if options.WatcherPoll <= 0 {
-		options.WatcherPoll = DefaultWatcherPoll
+	return m
+}
+
+func (o Options) withDefaults() Options {
+	if o.IsWatcher == nil {
+		o.IsWatcher = func() bool { return true }
 	}
-	if options.MemberPoll <= 0 {
-		options.MemberPoll = DefaultMemberPoll
+	if o.Rollout == (rollout.Settings{}) {
+		o.Rollout = rollout.DefaultSettings()
 	}
-	if options.Registry == nil {
-		options.Registry = metrics.NewRegistry()
+	if o.PeerFetch == nil {
+		// There are no peers to wait for.
+		o.Rollout.StartGrace = 0
 	}
-	if options.Logger == nil {
-		options.Logger = logrus.StandardLogger()
+	o.WatcherPoll = cmp.Or(o.WatcherPoll, DefaultWatcherPoll)
+	o.MemberPoll = cmp.Or(o.MemberPoll, DefaultMemberPoll)
+	if o.Registry == nil {
+		o.Registry = metrics.NewRegistry()
 	}
-	if options.Seed == 0 {
-		options.Seed = rand.Uint64()
+	if o.Logger == nil {
+		o.Logger = logrus.StandardLogger()
 	}
-	m := &Manager{options: options, counters: newCounters(options.Registry), inbox: make(chan message, inboxSize),
-		whole: rate.NewLimiter(wholeCopiesPerSecond, wholeCopyBurst)}
-	if options.Store != nil {
-		m.reader = &Reader{store: options.Store, bytes: m.counters.storeBytes}
+	if o.Seed == 0 {
+		o.Seed = rand.Uint64()
 	}
-	return m
+	return o
 }
 
 // Snapshot returns the revision in force, or nil before there is any.
