--- a/internal/placement/measure_test.go
+++ b/internal/placement/measure_test.go
@@ -92,7 +92,8 @@
 	byEngine, asNew := base, base
 	byEngine.byEngine = true
 	asNew.byEngine, asNew.unknownIsNew = true, true
-	stale, flapping, forgetful := base, base, base
+	stale, flapping, forgetful, loss := base, base, base, base
+	loss.losesDomain = true
 	stale.staleLists = true
 	flapping.flapping = true
 	forgetful.flapping, forgetful.remembers = true, false
@@ -107,6 +108,7 @@
 		{"undisturbed", base, base.holdDown},
 		{"router by first engine", byEngine, base.holdDown},
 		{"router by first engine, as new", asNew, base.holdDown},
+		{"three of twelve engines lost", loss, base.holdDown},
 		{"lists differ for 5 s", stale, base.holdDown},
 		{"flapping, hold-down", flapping, base.holdDown},
 		{"flapping, no hold-down", flapping, noHoldDown},
@@ -115,8 +117,8 @@
 	} {
 		line.policy.holdDown = line.holdDown
 		r := newReplay(line.policy, mean, time.Second).run(arrivals)
-		fmt.Printf("%-34s reuse %.3f  moved %.2f%%  over %.2f%%  refused %.2f%%\n", line.name, r.reuse(),
-			percent(r.moved, r.turns), percent(r.over, r.samples), percent(r.refused, r.turns))
+		fmt.Printf("%-34s reuse %.3f  moved %.2f%%  over %.2f%%  refused %.2f%%  uneven at 7m30s for %v\n", line.name, r.reuse(),
+			percent(r.moved, r.turns), percent(r.over, r.samples), percent(r.refused, r.turns), r.unevenAfterLoss)
 	}
 }
 
--- a/internal/placement/replay_test.go
+++ b/internal/placement/replay_test.go
@@ -153,6 +153,9 @@
 	byEngine bool
 	// unknownIsNew treats chats that the router doesn't remember as new.
 	unknownIsNew bool
+	// losesDomain takes a quarter of the engines away at lossTime; what runs
+	// there is placed anew.
+	losesDomain bool
 	// staleLists lets every other turn be ranked by the former list of engines
 	// for a while after a replacement.
 	staleLists bool
@@ -165,9 +168,10 @@
 
 // completion ends a request.
 type completion struct {
-	at     time.Duration
-	id     uint64
-	engine *replayEngine
+	at      time.Duration
+	id      uint64
+	engine  *replayEngine
+	arrival arrival
 }
 
 type completions []completion
@@ -221,7 +225,10 @@
 	refused, turns int
 	waits          []time.Duration
 	overAtPlacing  int
-	moved          int // turns that ran elsewhere than the chat's turn before
+	// unevenAfterLoss is when the target was broken last between lossTime and
+	// the next replacement.
+	unevenAfterLoss time.Duration
+	moved           int // turns that ran elsewhere than the chat's turn before
 }
 
 func (r result) reuse() float64 { return float64(r.cached) / float64(r.prefix) }
@@ -282,6 +289,9 @@
 		r.addEngine()
 		r.apply(r.former, r.former.scheduler.Drain(r.clock()))
 	}
+	if r.policy.losesDomain && r.now == lossTime {
+		r.loseDomain()
+	}
 	if r.every(meanInterval) {
 		r.means = append(r.means, r.mean())
 		lagged := r.means[max(0, len(r.means)-1-int(r.lag/meanInterval))]
@@ -298,6 +308,29 @@
 	}
 }
 
+// lossTime is between two replacements, after the surge.
+const lossTime = 7*time.Minute + 30*time.Second
+
+func (r *replay) loseDomain() {
+	lost := slices.Clone(r.engines[:engineCount/4])
+	r.engines = r.engines[engineCount/4:]
+	var cut []completion
+	r.done = slices.DeleteFunc(r.done, func(c completion) bool {
+		gone := slices.Contains(lost, c.engine)
+		if gone {
+			cut = append(cut, c)
+		}
+		return gone
+	})
+	heap.Init(&r.done)
+	for _, e := range lost {
+		r.apply(e, e.scheduler.Drain(r.clock()))
+	}
+	for _, c := range cut {
+		r.arrive(c.arrival)
+	}
+}
+
 func (r *replay) mean() float64 {
 	sum := 0
 	for _, e := range r.engines {
@@ -332,6 +365,9 @@
 		return
 	}
 	r.result.over++
+	if r.now >= lossTime && r.now < lossTime+replaceInterval/2 {
+		r.result.unevenAfterLoss = r.now - lossTime
+	}
 	if r.now >= surgeStart && r.now < surgeEnd+time.Minute {
 		r.result.overSurge++
 	}
@@ -468,7 +504,7 @@
 	last, known := a.memory.Recall(uint64(a.chat))
 	a.memory.Remember(uint64(a.chat), e.name)
 	prefill := seconds(float64(a.prefix+a.added-cached) / prefillPerSecond)
-	heap.Push(&r.done, completion{at: r.now + prefill + a.decode, id: id, engine: e})
+	heap.Push(&r.done, completion{at: r.now + prefill + a.decode, id: id, engine: e, arrival: a})
 	if r.now < warmUp {
 		return
 	}
