--- a/internal/claims/claims_test.go
+++ b/internal/claims/claims_test.go
@@ -116,20 +116,23 @@
 	f.requireRuns(late, 1)
 }
 
-// Fails without the release of the slot's claims by replay: each resend after
-// the holder's death would dispatch. The holder dies before its claim is
+// Fails without the replay of the journal: each resend after the holder's death
+// would dispatch. The holder dies before its claim is
 // written, after it and before the first byte, after the first byte, and after
 // the answer but before the outcome is written.
 func TestHolderKilled(t *testing.T) {
 	cases := []struct {
 		name             string
 		claimed, ran     bool
+		answered         bool
 		wantKind         refusal.Kind
 		wantRunsAfterAll int
 	}{
 		{name: "before the claim", wantRunsAfterAll: 1},
 		{name: "after the claim, before the first byte", claimed: true, wantKind: refusal.ActionUnconfirmed},
 		{name: "after the first byte", claimed: true, ran: true, wantKind: refusal.ActionUnconfirmed, wantRunsAfterAll: 1},
+		{name: "after the answer, before its record", claimed: true, ran: true, answered: true,
+			wantKind: refusal.ActionUnconfirmed, wantRunsAfterAll: 1},
 	}
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
@@ -137,19 +140,28 @@
 			first, link := f.daemon("first")
 			second, _ := f.daemon("second")
 			key := f.key()
-			started := make(chan struct{})
+			started, ended := make(chan struct{}), make(chan struct{})
 			link.down.Store(!tc.claimed)
-			go do(first, key, func(ctx context.Context) (Result, error) {
-				if tc.ran {
-					f.run(key)
-				}
-				close(started)
-				<-ctx.Done()
-				return Result{}, ctx.Err()
-			})
+			go func() {
+				defer close(ended)
+				_, _ = do(first, key, func(ctx context.Context) (Result, error) {
+					if tc.ran {
+						f.run(key)
+					}
+					link.down.Store(true)
+					close(started)
+					if !tc.answered {
+						<-ctx.Done()
+					}
+					return Result{}, ctx.Err()
+				})
+			}()
 			if tc.claimed {
 				<-started
 			}
+			if tc.answered {
+				<-ended
+			}
 			first.cancel()
 			_, r := do(second, key, f.dispatch(key))
 			if tc.wantKind != "" {
