--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN = bin
 GENERATED = internal/peerpb/peer.pb.go internal/journalpb/journal.pb.go
 
-.PHONY: build test check generate generated-current fmt demo traces capacity
+.PHONY: build test check generate generated-current fmt demo traces capacity prove
 
 build:
 	$(GO) build -o $(BIN)/ ./cmd/...
@@ -41,3 +41,7 @@
 # choose the load and the cases.
 capacity: build
 	scripts/capacity.sh
+
+# Runs every proof of docs/PROOFS.md; about two minutes.
+prove:
+	@GO=$(GO) scripts/prove.sh
--- a/internal/layout/ports.go
+++ b/internal/layout/ports.go
@@ -4,6 +4,7 @@
 	"net"
 	"os"
 	"strconv"
+	"sync"
 
 	"github.com/pkg/errors"
 )
@@ -21,18 +22,25 @@
 	portStride = 131
 )
 
-// ports gives out addresses that are free for TCP and UDP.
-type ports struct {
+// Ports gives out addresses that are free for TCP and UDP, each once. Layouts
+// that run at the same time share one: else the port of a killed process could
+// go to another fleet while the callers of the first still use it. It is safe
+// for concurrent use.
+type Ports struct {
+	mu   sync.Mutex
 	next int
 	left int
 }
 
-func newPorts() *ports {
-	return &ports{next: os.Getpid() * portStride % (lastPort - firstPort), left: lastPort - firstPort}
+// NewPorts returns a source that starts at a place of this process's own.
+func NewPorts() *Ports {
+	return &Ports{next: os.Getpid() * portStride % (lastPort - firstPort), left: lastPort - firstPort}
 }
 
 // take returns a free IP number and port.
-func (p *ports) take() (string, error) {
+func (p *Ports) take() (string, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	for p.left > 0 {
 		p.left--
 		port := firstPort + p.next
--- a/internal/layout/write.go
+++ b/internal/layout/write.go
@@ -27,13 +27,18 @@
 	// defaults.
 	Router    func(*daemon.RouterSettings)
 	Directory func(*daemon.DirectorySettings)
+	// Ports gives out the addresses; nil means a new source.
+	Ports *Ports
 	// EngineArgs are added to the arguments of each engine.
 	EngineArgs []string
 }
 
 // Write lays out the processes of a trace's deployment.
 func Write(t *trace.Trace, o Options) (*Layout, error) {
-	w := &writer{trace: t, options: o, ports: newPorts(), layout: &Layout{dir: o.Dir}}
+	if o.Ports == nil {
+		o.Ports = NewPorts()
+	}
+	w := &writer{trace: t, options: o, ports: o.Ports, layout: &Layout{dir: o.Dir}}
 	steps := []func() error{
 		w.makeDirectories, w.addPlatform, w.addEngines, w.addServices,
 		w.addRouters, w.addDirectories, w.addStewards,
@@ -50,7 +55,7 @@
 type writer struct {
 	trace    *trace.Trace
 	options  Options
-	ports    *ports
+	ports    *Ports
 	layout   *Layout
 	hosts    hostlist.List
 	platform daemon.Platform
--- a/internal/prove/harness_test.go
+++ b/internal/prove/harness_test.go
@@ -33,6 +33,7 @@
 	binaries string
 	// starting lets one fleet at a time choose its ports and bind them.
 	starting sync.Mutex
+	ports    = layout.NewPorts()
 )
 
 func TestMain(m *testing.M) { os.Exit(run(m)) }
@@ -66,7 +67,7 @@
 	t.Helper()
 	starting.Lock()
 	defer starting.Unlock()
-	options.Dir, options.Binaries = t.TempDir(), binaries
+	options.Dir, options.Binaries, options.Ports = t.TempDir(), binaries, ports
 	l, err := layout.Write(tr, options)
 	if err != nil {
 		t.Fatal(err)
--- a/internal/replay/judgeactions.go
+++ b/internal/replay/judgeactions.go
@@ -1,6 +1,8 @@
 package replay
 
 import (
+	"fmt"
+
 	"github.com/verbenatrail/verbenatrail/internal/refusal"
 	"github.com/verbenatrail/verbenatrail/internal/trace"
 )
@@ -75,3 +77,22 @@
 	}
 	return 0
 }
+
+// contradictions names the sendings whose outcome the executions belie.
+func contradictions(r *Record) []string {
+	states := actionStates(r)
+	var out []string
+	for _, c := range r.Calls {
+		s := states[c.ActionKey]
+		if s == nil {
+			continue
+		}
+		belied := s.executions > 1 || (c.Outcome == refusal.Done && s.executions == 0) ||
+			(c.Outcome == refusal.NotRun && s.executions > 0)
+		if belied {
+			out = append(out, fmt.Sprintf("action %s (%s) ended %q with status %d after %d attempts, executed %d times",
+				c.ID, c.ActionKey, c.Outcome, c.Status, c.Attempts, s.executions))
+		}
+	}
+	return out
+}
--- a/internal/replay/record.go
+++ b/internal/replay/record.go
@@ -42,7 +42,9 @@
 	// ActionKey is empty for idempotent calls.
 	ActionKey string
 	// Outcome is what the caller was told last.
-	Outcome  refusal.Outcome
+	Outcome refusal.Outcome
+	// Status is the service's own; zero without its answer.
+	Status   int
 	Failure  string
 	Attempts int
 	Latency  time.Duration
--- a/internal/replay/report.go
+++ b/internal/replay/report.go
@@ -75,6 +75,7 @@
 			out = append(out, "turn "+t.ID+": "+t.Failure)
 		}
 	}
+	out = append(out, contradictions(r)...)
 	for _, c := range r.Calls {
 		if c.Failure != "" {
 			out = append(out, fmt.Sprintf("call %s ended %q: %s", c.ID, c.Outcome, c.Failure))
