--- a/internal/cluster/cluster_test.go
+++ b/internal/cluster/cluster_test.go
@@ -1,12 +1,14 @@
 package cluster
 
 import (
+	"compress/gzip"
 	"context"
 	"encoding/json"
 	"fmt"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -28,6 +30,7 @@
 // platform serves a host list that tests change.
 type platform struct {
 	mu     sync.Mutex
+	zip    bool // compresses the list
 	hosts  []hostlist.Host
 	server *httptest.Server
 }
@@ -48,7 +51,14 @@
 		return
 	}
 	w.Header().Set("ETag", etag)
-	_ = json.NewEncoder(w).Encode(hostlist.List{Hosts: p.hosts})
+	if r.Header.Get("Accept-Encoding") != "gzip" || !p.zip {
+		_ = json.NewEncoder(w).Encode(hostlist.List{Hosts: p.hosts})
+		return
+	}
+	w.Header().Set("Content-Encoding", "gzip")
+	zipped := gzip.NewWriter(w)
+	_ = json.NewEncoder(zipped).Encode(hostlist.List{Hosts: p.hosts})
+	_ = zipped.Close()
 }
 
 func (p *platform) add(h hostlist.Host) {
@@ -186,6 +196,31 @@
 	a.eventually(t, "the other leaves", func(v *View) bool { return len(v.Owners) == 1 && len(v.Routers) == 2 })
 }
 
+func TestListIsReadZippedAndOnlyWhenChanged(t *testing.T) {
+	p := newPlatform(t)
+	p.zip = true
+	for i := range 50 {
+		p.add(routerHost(i))
+	}
+	poller := newListPoller(Options{HostListURL: p.server.URL, Settings: DefaultSettings()})
+	defer poller.client.CloseIdleConnections()
+	first := poller.poll(t.Context())
+	if first.err != nil || len(first.hosts) != 50 || first.bytes > 1500 {
+		t.Fatalf("%d hosts in %d bytes, %v", len(first.hosts), first.bytes, first.err)
+	}
+	if again := poller.poll(t.Context()); again.err != nil || again.hosts != nil {
+		t.Fatalf("got %+v", again)
+	}
+	p.add(routerHost(50))
+	if changed := poller.poll(t.Context()); len(changed.hosts) != 51 {
+		t.Fatalf("%d hosts, %v", len(changed.hosts), changed.err)
+	}
+}
+
+func routerHost(i int) hostlist.Host {
+	return hostlist.Host{Name: fmt.Sprintf("router-%03d", i), Kind: hostlist.KindRouter, State: hostlist.StateLive}
+}
+
 func TestTakenPortIsReported(t *testing.T) {
 	if _, err := New(Options{Self: hostlist.Host{PeerAddress: "nowhere"}}); err == nil {
 		t.Fatal("no error")
@@ -232,3 +267,30 @@
 		t.Fatalf("%d of %d pieces of news read back", got, fitted)
 	}
 }
+
+func TestOwnersAreInTheRegionOfTheUpstream(t *testing.T) {
+	v := &View{Upstreams: map[string]UpstreamView{"engine": {Region: "litoral"}, "elsewhere": {Region: "none"}}}
+	for i, region := range []string{"bagmati", "litoral", "bagmati", "litoral"} {
+		name := fmt.Sprint("router-", i)
+		v.Routers = append(v.Routers, RouterView{Name: name, Region: region})
+		v.Owners = append(v.Owners, name)
+	}
+	v.regionOwners = ownersByRegion(v.Routers, v.Owners)
+	order := v.OwnersInOrder("engine", 4)
+	near := []string{"router-1", "router-3"}
+	if len(order) != 4 || !slices.Contains(near, order[0]) || !slices.Contains(near, order[1]) {
+		t.Fatalf("got %v", order)
+	}
+	if owner, ok := v.Owner("engine", nil); !ok || owner != order[0] {
+		t.Fatalf("got %q", owner)
+	}
+	if owner, ok := v.Owner("engine", near); !ok || owner != order[2] {
+		t.Fatalf("got %q", owner)
+	}
+	if owner, ok := v.Owner("elsewhere", nil); !ok || owner == "" {
+		t.Fatal("no owner for an upstream of a region without routers")
+	}
+	if _, ok := v.Owner("engine", v.Owners); ok {
+		t.Fatal("owner although all are excepted")
+	}
+}
