--- a/internal/callers/address.go
+++ b/internal/callers/address.go
@@ -142,6 +142,13 @@
 	r.client.forget(r.key)
 }
 
+// heed drops the kept answer when the router says that it is leaving.
+func (r *route) heed(response *http.Response) {
+	if response.Header.Get(HeaderMoveTo) != "" {
+		r.client.forget(r.key)
+	}
+}
+
 // base returns the base URL of a router.
 func base(address string) string {
 	return (&url.URL{Scheme: "http", Host: address}).String()
--- a/internal/callers/callers_test.go
+++ b/internal/callers/callers_test.go
@@ -154,6 +154,24 @@
 	}
 }
 
+func TestAddressIsDroppedWhenTheRouterLeaves(t *testing.T) {
+	var lookups atomic.Int64
+	router := serve(t, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set(HeaderMoveTo, "127.0.0.1:1")
+		sendToken(w, 0)
+		sendEnd(w)
+	})
+	client := newClient(t, &lookups, router)
+	for range 2 {
+		if _, err := chat(t, client); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if lookups.Load() != 2 {
+		t.Fatalf("%d lookups, want 2", lookups.Load())
+	}
+}
+
 func TestActionIsResentUnderTheSameKey(t *testing.T) {
 	var lookups atomic.Int64
 	keys := make(chan string, 2)
--- a/internal/callers/chat.go
+++ b/internal/callers/chat.go
@@ -81,6 +81,7 @@
 		return connectionError(err)
 	}
 	defer func() { _ = response.Body.Close() }()
+	s.route.heed(response)
 	if response.StatusCode != http.StatusOK {
 		return s.refused(readRefusal(response))
 	}
--- a/internal/callers/client.go
+++ b/internal/callers/client.go
@@ -39,6 +39,7 @@
 	HeaderActionKey = "Idempotency-Key"
 	HeaderLastEvent = "Last-Event-ID"
 	HeaderUpstream  = "Verbenatrail-Upstream"
+	HeaderMoveTo    = "Verbenatrail-Move-To"
 )
 
 // Settings of a Client.
--- a/internal/callers/service.go
+++ b/internal/callers/service.go
@@ -122,6 +122,7 @@
 		return connectionError(err)
 	}
 	defer func() { _ = response.Body.Close() }()
+	s.route.heed(response)
 	if isRefusal(response) {
 		return readRefusal(response)
 	}
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -2,6 +2,8 @@
 # Starts a fleet with stand-ins on free loopback ports, replays a trace against
 # it and stops it. The last line is "verdict: pass" or "verdict: fail".
 # Usage: scripts/demo.sh [TRACE] [OUT]
+# With HOLD=yes it replays nothing, writes the addresses to OUT/addresses.sh
+# and keeps the fleet until the script is interrupted.
 set -uo pipefail
 cd "$(dirname "$0")/.."
 trace=${1:-traces/shrestha.jsonl}
@@ -22,7 +24,11 @@
     IFS=$'\t' read -r -a args <<<"$rest"
     "$binary" "${args[@]}" >"$log_file" 2>&1 &
     echo $! >"$pid_file"
-    if [ "$kind" = key-value ]; then key_value=$address; fi
+    case $kind in
+    key-value) key_value=$address ;;
+    host-list) host_list=$address ;;
+    directory) directory=$address ;;
+    esac
   done < <(bin/vt-replay processes --layout "$layout")
 }
 
@@ -58,6 +64,14 @@
 done
 [ $applied = yes ] || fail "declarations not applied, see $out/apply.log"
 bin/vt-replay ready --layout "$layout" || fail "fleet not ready, see $layout/log"
+if [ "${HOLD:-no}" = yes ]; then
+  printf 'KEY_VALUE=http://%s\nHOST_LIST=http://%s\nDIRECTORY=http://%s\nROUTERS=%s\n' \
+    "$key_value" "$host_list" "$directory" \
+    "$(awk '/admin:/ {print $2}' "$layout"/settings/router-*.yaml | paste -sd,)" >"$out/addresses.sh"
+  echo "fleet is up: . $out/addresses.sh; interrupt to stop it"
+  trap 'exit 0' INT TERM
+  while :; do sleep 1; done
+fi
 bin/vt-replay run --layout "$layout" --trace "$trace" --out "$out"
 status=$?
 stop_all
