--- a/cmd/vt-capacity/measure.go
+++ b/cmd/vt-capacity/measure.go
@@ -36,7 +36,7 @@
 	addOutFlag(cmd, &m.out)
 	cmd.Flags().StringVar(&m.against, "against", capacity.AgainstRouters, "size that the runs vary")
 	cmd.Flags().StringSliceVar(&m.phases, "phases", []string{"start", "idle"},
-		"of start, idle, list, changes, outage, chats, actions, takeover, lookups, lookup-cost, steward, open and failure, in order")
+		"of start, idle, list, list-tagged, changes, outage, chats, actions, takeover, lookups, lookup-cost, steward, open and failure, in order")
 	return cmd
 }
 
@@ -89,7 +89,9 @@
 	case "lookup-cost":
 		return e.LookupCost(ctx)
 	case "list":
-		return e.ListPolls(ctx, listLength)
+		return e.ListPolls(ctx, "whole lists", listLength)
+	case "list-tagged":
+		return e.ListPolls(ctx, "with entity tags", listLength)
 	case "takeover":
 		return e.TakeOver(ctx)
 	case "failure":
--- a/cmd/vt-standin/platform.go
+++ b/cmd/vt-standin/platform.go
@@ -51,6 +51,7 @@
 	flags := cmd.Flags()
 	flags.StringVar(&hostsFile, "hosts", "", "YAML or JSON file with the list at the start")
 	flags.DurationVar(&cfg.Lag, "lag", cfg.Lag, "time until a change becomes visible")
+	flags.BoolVar(&cfg.EntityTags, "entity-tags", cfg.EntityTags, "answer polls of an unchanged list without a body")
 	return cmd
 }
 
--- a/internal/capacity/experiment.go
+++ b/internal/capacity/experiment.go
@@ -206,14 +206,14 @@
 }
 
 // ListPolls measures the polls of the host list; its interval grows with the
-// list, up to half a minute.
-func (e *Experiment) ListPolls(ctx context.Context, length time.Duration) error {
+// list, up to half a minute. The platform is how the list is served.
+func (e *Experiment) ListPolls(ctx context.Context, platform string, length time.Duration) error {
 	span, err := e.idleSpan(ctx, length)
 	if err != nil {
 		return err
 	}
-	e.note("control: host list polls per router", "polls/s", span.perRouterSecond("cluster.received.messages.list"))
-	e.note("control: host list bytes per router", "B/s", span.perRouterSecond("cluster.received.bytes.list"))
+	e.note("control: host list polls per router, "+platform, "polls/s", span.perRouterSecond("cluster.received.messages.list"))
+	e.note("control: host list bytes per router, "+platform, "B/s", span.perRouterSecond("cluster.received.bytes.list"))
 	return nil
 }
 
--- a/internal/standin/hostserver/server.go
+++ b/internal/standin/hostserver/server.go
@@ -3,8 +3,11 @@
 package hostserver
 
 import (
+	"fmt"
+	"hash/fnv"
 	"net/http"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 
@@ -37,6 +40,9 @@
 	Hosts []hostlist.Host
 	// Lag is the time until a change becomes visible.
 	Lag time.Duration
+	// EntityTags makes the list answer a poll whose tag is current without a
+	// body.
+	EntityTags bool
 	// Clock is the machine's when nil.
 	Clock standin.Clock
 }
@@ -73,8 +79,9 @@
 	// Faults can be changed at any time.
 	Faults standin.Switch[Faults]
 
-	clock standin.Clock
-	mux   *http.ServeMux
+	clock      standin.Clock
+	mux        *http.ServeMux
+	entityTags bool
 
 	mu    sync.Mutex
 	hosts *standin.Lagged[[]hostlist.Host]
@@ -87,9 +94,10 @@
 func New(cfg Config) *Server {
 	initial := withDefaultState(cfg.Hosts)
 	s := &Server{
-		clock: standin.ClockOrSystem(cfg.Clock),
-		mux:   http.NewServeMux(),
-		hosts: standin.NewLagged(cfg.Lag, initial),
+		clock:      standin.ClockOrSystem(cfg.Clock),
+		mux:        http.NewServeMux(),
+		entityTags: cfg.EntityTags,
+		hosts:      standin.NewLagged(cfg.Lag, initial),
 	}
 	s.Faults.OnChange = s.faultsChanged
 	s.routes()
@@ -220,9 +228,25 @@
 		return
 	}
 	hosts := faults.filter(s.visible(), pollerOf(r), s.clock.Now())
+	if s.entityTags && isCurrent(w, r, hosts) {
+		w.WriteHeader(http.StatusNotModified)
+		return
+	}
 	standin.WriteJSON(w, http.StatusOK, hostlist.List{Hosts: hosts})
 }
 
+// isCurrent sets the entity tag of a list and reports whether the poller has
+// that list already.
+func isCurrent(w http.ResponseWriter, r *http.Request, hosts []hostlist.Host) bool {
+	digest := fnv.New64a()
+	for _, host := range hosts {
+		_, _ = fmt.Fprintf(digest, "%q\n", host)
+	}
+	tag := fmt.Sprintf("%q", strconv.FormatUint(digest.Sum64(), 16))
+	w.Header().Set("ETag", tag)
+	return r.Header.Get("If-None-Match") == tag
+}
+
 func (s *Server) countOutage() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/scripts/capacity.sh
+++ b/scripts/capacity.sh
@@ -11,6 +11,8 @@
 FIRST_PORT=${FIRST_PORT:-26000}
 CASES=${CASES:-"routers engines workspaces load functions"}
 OBSERVATIONS=$OUT/observations.jsonl
+COMMIT=$(git rev-parse --short HEAD)
+HOSTLIST_FLAGS=
 ENGINE_SERVERS=4
 INSTANCES=2
 
@@ -42,7 +44,7 @@
 # Ports follow internal/capacity/layout.go.
 start_platform() {
 	start kv "$BIN"/vt-standin kv --listen "$(port 0)"
-	start hostlist "$BIN"/vt-standin hostlist --listen "$(port 1)" --hosts "$DIR/hosts.yaml"
+	start hostlist "$BIN"/vt-standin hostlist --listen "$(port 1)" --hosts "$DIR/hosts.yaml" $HOSTLIST_FLAGS
 	i=0
 	while [ $i -lt $ENGINE_SERVERS ]; do
 		start "engine-server-$i" "$BIN"/vt-standin engine --listen "$(port $((5 + i)))" --token-ms 5 --slots 4096
@@ -90,6 +92,9 @@
 			run_case "engines-$n" 8 "$n" 100 "listed engines" start,idle,changes,lookup-cost,steward
 		done
 		run_case engines-600 8 600 100 "listed engines" start,idle,changes,lookup-cost,steward,list
+		HOSTLIST_FLAGS=--entity-tags
+		run_case engines-600-tagged 8 600 100 "listed engines" start,list-tagged
+		HOSTLIST_FLAGS=
 		;;
 	workspaces)
 		for n in 100 3000 10000 30000; do
@@ -105,4 +110,4 @@
 	esac
 done
 "$BIN"/vt-capacity report --observations "$OBSERVATIONS" --markdown "$OUT/report.md" --json "$OUT/report.json" \
-	--seed "$SEED" --commit "$(git rev-parse --short HEAD)" --command "make capacity SEED=$SEED"
+	--seed "$SEED" --commit "$COMMIT" --command "make capacity SEED=$SEED"
