--- a/internal/replay/record.go
+++ b/internal/replay/record.go
@@ -13,6 +13,11 @@
 type TurnRecord struct {
 	ID        string
 	Workspace string
+	Chat      string
+	// At is the time of the turn from the start of the replay.
+	At time.Duration
+	// Upstream is the engine that the answer came from.
+	Upstream string
 	// Returning is set when the chat had a turn before.
 	Returning bool
 	// Whole is set when the caller got its own answer, all of it, in order.
@@ -70,8 +75,13 @@
 type EngineSample struct {
 	Name string
 	Pool string
+	// Live is set when a router sends the engine new work.
+	Live bool
 	// InFlight counts running and waiting requests.
 	InFlight int
+	// Accepted counts the chat requests since the engine's start, without
+	// those that it refused as leaving.
+	Accepted int64
 	// PromptTokens and CachedTokens are totals since the engine's start.
 	PromptTokens, CachedTokens int64
 }
@@ -80,8 +90,11 @@
 type DaemonSample struct {
 	Name     string
 	Revision uint64
-	// ControlBytes is a total since the daemon's start.
-	ControlBytes float64
+	// Live are the upstreams that the daemon sends new work.
+	Live []string
+	// ControlBytes and BrokenStreams are totals since the daemon's start.
+	ControlBytes  float64
+	BrokenStreams float64
 }
 
 // Record is all that a replay has seen.
--- a/internal/replay/sampler.go
+++ b/internal/replay/sampler.go
@@ -14,6 +14,12 @@
 	"github.com/verbenatrail/verbenatrail/internal/trace"
 )
 
+// metricBrokenStreams counts the streams that broke off at an owner.
+const metricBrokenStreams = "owner.streams_broken.streams"
+
+// stateLive is the state of an upstream that takes new work.
+const stateLive = "live"
+
 // sampler reads the state of all engines and daemons at an interval.
 type sampler struct {
 	layout  *layout.Layout
@@ -54,9 +60,23 @@
 		group.Go(func() error { s.read(ctx, &p, &sample, &mu); return nil })
 	}
 	_ = group.Wait()
+	sample.markLive()
 	return sample
 }
 
+// markLive marks the engines that some daemon sends new work.
+func (s *Sample) markLive() {
+	live := make(map[string]bool)
+	for _, d := range s.Daemons {
+		for _, name := range d.Live {
+			live[name] = true
+		}
+	}
+	for i := range s.Engines {
+		s.Engines[i].Live = live[s.Engines[i].Name]
+	}
+}
+
 func (s *sampler) read(ctx context.Context, p *layout.Process, into *Sample, mu *sync.Mutex) {
 	switch p.Kind {
 	case layout.KindEngine:
@@ -81,7 +101,7 @@
 	}
 	return EngineSample{
 		Name: p.Name, Pool: s.pools[p.Name], InFlight: state.Running + state.Waiting,
-		PromptTokens: state.PromptTokens, CachedTokens: state.CachedTokens,
+		Accepted: state.Chats, PromptTokens: state.PromptTokens, CachedTokens: state.CachedTokens,
 	}, true
 }
 
@@ -94,5 +114,14 @@
 	if s.admin.get(ctx, p.Admin, status.MetricsPath, &metrics) != nil {
 		return DaemonSample{}, false
 	}
-	return DaemonSample{Name: p.Name, Revision: page.ConfigRevision, ControlBytes: metrics.ControlBytes()}, true
+	sample := DaemonSample{
+		Name: p.Name, Revision: page.ConfigRevision, ControlBytes: metrics.ControlBytes(),
+		BrokenStreams: metrics[metricBrokenStreams].Count,
+	}
+	for _, u := range page.Upstreams {
+		if u.State == stateLive {
+			sample.Live = append(sample.Live, u.Name)
+		}
+	}
+	return sample, true
 }
