--- a/internal/capacity/functions.go
+++ b/internal/capacity/functions.go
@@ -1,6 +1,9 @@
 package capacity
 
 import (
+	"bytes"
+	"compress/gzip"
+	"encoding/json"
 	"math/rand/v2"
 	"runtime"
 	"testing"
@@ -21,6 +24,8 @@
 	againstPoolSize = "engines in a pool"
 	againstPools    = "busy pools"
 	againstMembers  = "members"
+	againstHosts    = "listed hosts"
+	firstListedPort = 26000
 	againstDeclared = "declared workspaces"
 	functionModels  = 12
 	functionEngines = 600
@@ -41,6 +46,7 @@
 	f.placement()
 	f.datagrams()
 	f.members()
+	f.hostLists()
 	f.declarations()
 	return f.found, f.sessions()
 }
@@ -161,6 +167,24 @@
 	}
 }
 
+// hostLists measures the list as the platform sends it, plain and zipped.
+func (f *functions) hostLists() {
+	for _, count := range memberCounts {
+		layout := NewLayout(Size{Routers: count, Engines: count * targetEngines / targetRouters}, 1, firstListedPort)
+		list := layout.Hosts()
+		plain, err := json.Marshal(list)
+		if err != nil {
+			continue
+		}
+		var zipped bytes.Buffer
+		writer := gzip.NewWriter(&zipped)
+		_, _ = writer.Write(plain)
+		_ = writer.Close()
+		f.note(againstHosts, len(list.Hosts), "host list, plain", "B", float64(len(plain)))
+		f.note(againstHosts, len(list.Hosts), "host list, zipped", "B", float64(zipped.Len()))
+	}
+}
+
 // listOf returns a list of routers and as many engines.
 func listOf(count int) []hostlist.Host {
 	hosts := make([]hostlist.Host, 0, 2*count)
--- a/internal/capacity/target.go
+++ b/internal/capacity/target.go
@@ -44,6 +44,7 @@
 		{againstPools, targetModels, "one pool for each model"},
 		{againstPoolSize, targetEngines / targetModels, "engines by models"},
 		{againstMembers, targetRouters, "daemons"},
+		{againstHosts, targetRouters + targetEngines, "daemons and engines"},
 		{againstSessions, targetRouters - 1, "all other daemons"},
 		{againstDeclared, targetWorkspaces, "workspaces"},
 		{againstLookups, targetRequests, "one lookup for each request"},
