Relay: the last resort is the least loaded engine, with the pool's mean known

While the load of a pool rises, every engine refuses at its bound for a moment. All refusals name the load now, and the call goes to the least loaded engine.

--- a/internal/owner/gate.go
+++ b/internal/owner/gate.go
@@ -174,6 +174,13 @@
 	return g.scheduler.InFlight() + g.forced
 }
 
+// load counts what runs on the upstream, a former owner's requests included.
+func (g *gate) load() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.scheduler.InFlight() + g.forced + g.foreign
+}
+
 // deliver hands effects to the requests that wait for them.
 func (g *gate) deliver(effects []admission.Effect) {
 	for _, effect := range effects {
@@ -209,9 +216,7 @@
 	switch decision.Verdict {
 	case admission.Refused:
 		o.Metrics.Refused.Inc(1)
-		refused := admissionRefusal(t.declared.Name, decision.Reason, decision.RetryAfter)
-		refused.UpstreamLoad = float64(g.inFlight()) / float64(max(t.declared.Weight, 1))
-		return nil, refused
+		return nil, g.refusal(t, decision.Reason, decision.RetryAfter)
 	case admission.Queued:
 		o.Metrics.Queued.Inc(1)
 		if refused := o.wait(ctx, g, id, waiter, t, sink); refused != nil {
@@ -262,7 +267,7 @@
 				return nil
 			}
 			o.Metrics.Refused.Inc(1)
-			return admissionRefusal(t.declared.Name, effect.Reason, effect.RetryAfter)
+			return g.refusal(t, effect.Reason, effect.RetryAfter)
 		case <-ctx.Done():
 			g.cancel(time.Now(), id)
 			return refusal.New(refusal.DeadlineExceeded, "the caller stopped waiting: retry with a longer time limit")
@@ -275,6 +280,14 @@
 	}
 }
 
+// refusal names the present load, from which the asking router learns the
+// pool's mean.
+func (g *gate) refusal(t *target, reason admission.Reason, retryAfter time.Duration) *refusal.Refusal {
+	refused := admissionRefusal(t.declared.Name, reason, retryAfter)
+	refused.UpstreamLoad = float64(g.load()) / float64(max(t.declared.Weight, 1))
+	return refused
+}
+
 func admissionRefusal(upstream string, reason admission.Reason, retryAfter time.Duration) *refusal.Refusal {
 	var refused *refusal.Refusal
 	switch reason {
--- a/internal/relay/session.go
+++ b/internal/relay/session.go
@@ -75,7 +75,7 @@
 	if s.progress.stream.Stream != "" {
 		return s.withOwner(attempt{ask: placement.Ask{Upstream: s.progress.stream.Engine}, resume: true})
 	}
-	for len(s.asks) > 0 {
+	for len(s.asks) > 0 && !s.asks[0].LastResort {
 		ask := s.asks[0]
 		if !s.skip(ask) {
 			return s.withOwner(attempt{ask: ask})
@@ -94,16 +94,24 @@
 	return !ask.LastResort && contains(s.full, ask.Upstream)
 }
 
-// lastResort waits at the best upstream that has not failed.
+// lastResort waits at the least loaded upstream that has not failed, the best
+// in rank of equal ones. With the mean of the pool known, it has room there
+// unless the pool is at its capacity.
 func (s *session) lastResort() (attempt, *refusal.Refusal) {
+	chosen := ""
 	for _, upstream := range s.plan.Ranked {
 		if s.skip(placement.Ask{Upstream: upstream, LastResort: true}) {
 			continue
 		}
-		s.asks = []placement.Ask{{Upstream: upstream, LastResort: true}}
-		return s.withOwner(attempt{ask: s.asks[0]})
+		if chosen == "" || s.loads[upstream] < s.loads[chosen] {
+			chosen = upstream
+		}
+	}
+	if chosen == "" {
+		return attempt{}, s.giveUp(refusal.NoLiveUpstream, "every admitted upstream failed: retry later", retryAfterNoUpstream)
 	}
-	return attempt{}, s.giveUp(refusal.NoLiveUpstream, "every admitted upstream failed: retry later", retryAfterNoUpstream)
+	s.asks = []placement.Ask{{Upstream: chosen, LastResort: true, PoolFull: len(s.plan.Ranked) <= maxProbes}}
+	return s.withOwner(attempt{ask: s.asks[0]})
 }
 
 func (s *session) withOwner(a attempt) (attempt, *refusal.Refusal) {
@@ -146,7 +154,7 @@
 // poolMean returns the mean of the loads that owners named, once all upstreams
 // in rank have been asked and none has failed.
 func (s *session) poolMean(a attempt) float64 {
-	if !a.ask.LastResort || len(s.loads) < len(s.plan.Ranked) {
+	if !a.ask.LastResort || len(s.loads)+len(s.progress.failed) < len(s.plan.Ranked) {
 		return 0
 	}
 	sum := 0.0
