Owner: one overlap watch a gate, with the load history kept all the time

The first report of a new watch spoke of a time before the watch had samples, so an owner's own requests counted as a former owner's: up to 10 at half of the gates during the first 15 s, and refusals named loads of 18 at a mean of 10. Samples taken by polling the status pages every 150 ms showed the estimates; the averages were right throughout. Gates now keep the history from their start, and watch once at a time.

--- a/internal/owner/gate.go
+++ b/internal/owner/gate.go
@@ -34,6 +34,9 @@
 	resumed map[*slot]struct{}
 	// foreign estimates what a former owner still runs on the upstream.
 	foreign int
+	// overlapping is set while that estimate is kept.
+	overlapping bool
+	history     loadHistory
 	// waits ends the waits for first tokens when the upstream hangs.
 	waits    context.Context
 	endWaits context.CancelCauseFunc
@@ -121,14 +124,15 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.mean = mean
+	g.history.record(loadSample{at: now, inFlight: g.scheduler.InFlight() + g.forced})
 	g.deliver(g.scheduler.SetCapacity(now, capacity))
 	g.deliver(g.scheduler.SetMean(now, mean))
 	g.deliver(g.scheduler.Tick(now))
 }
 
+// setForeign changes the estimate of a former owner's requests. The caller
+// holds the lock.
 func (g *gate) setForeign(now time.Time, load int) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
 	g.foreign = load
 	g.deliver(g.scheduler.SetForeignLoad(now, g.foreign+g.forced))
 }
--- a/internal/owner/gateset.go
+++ b/internal/owner/gateset.go
@@ -172,6 +172,6 @@
 	defer g.mu.Unlock()
 	return Load{
 		Upstream: g.name, InFlight: g.scheduler.InFlight() + g.forced, Queued: g.scheduler.Queued(),
-		Limit: g.scheduler.Limit(now), Mean: g.mean,
+		Limit: g.scheduler.Limit(now), Mean: g.mean, Foreign: g.foreign,
 	}
 }
--- a/internal/owner/overlap.go
+++ b/internal/owner/overlap.go
@@ -21,8 +21,6 @@
 	// reportInterval is the time between two reads of an upstream's own report.
 	reportInterval = 500 * time.Millisecond
 	reportTimeout  = 500 * time.Millisecond
-	// sampleInterval is the time between two samples of the own load.
-	sampleInterval = 50 * time.Millisecond
 	// historyTime is how far back samples are kept; reports lag by less.
 	historyTime = 6 * time.Second
 	// clockAllowance is how far an upstream's clock and the times of samples may
@@ -36,33 +34,29 @@
 	inFlight int
 }
 
-// overlap estimates the load that a former owner still has on an upstream,
-// from the upstream's own report and from what this owner had at the time that
-// the report speaks of.
-type overlap struct {
+// loadHistory is a gate's own load over the last seconds.
+type loadHistory struct {
 	samples []loadSample
-	// reported is set after the first report.
-	reported bool
 }
 
-// record keeps a sample of the own load.
-func (v *overlap) record(sample loadSample) {
-	v.samples = append(v.samples, sample)
-	for sample.at.Sub(v.samples[0].at) > historyTime {
-		v.samples = v.samples[1:]
+// record keeps a sample, and drops those that no report can speak of.
+func (h *loadHistory) record(sample loadSample) {
+	h.samples = append(h.samples, sample)
+	for sample.at.Sub(h.samples[0].at) > historyTime {
+		h.samples = h.samples[1:]
 	}
 }
 
 // foreign returns the part of a reported load that isn't this owner's.
-func (v *overlap) foreign(reported int, measuredAt time.Time) int {
-	return max(0, reported-v.ownAt(measuredAt))
+func (h *loadHistory) foreign(reported int, measuredAt time.Time) int {
+	return max(0, reported-h.ownAt(measuredAt))
 }
 
 // ownAt returns the highest own load around a time, zero before the first
 // sample. A lower value would take own requests for a former owner's.
-func (v *overlap) ownAt(at time.Time) int {
+func (h *loadHistory) ownAt(at time.Time) int {
 	own := 0
-	for _, sample := range v.samples {
+	for _, sample := range h.samples {
 		if sample.at.Sub(at).Abs() <= clockAllowance {
 			own = max(own, sample.inFlight)
 		}
@@ -73,62 +67,68 @@
 // watchOverlap reads an upstream's report until a former owner's requests must
 // have ended, and then clears the foreign load.
 func (o *Owner) watchOverlap(ctx context.Context, g *gate) {
+	if !g.beginOverlap() {
+		return
+	}
+	defer g.endOverlap()
 	ctx, cancel := context.WithTimeout(ctx, overlapTime)
 	defer cancel()
-	defer func() { g.setForeign(time.Now(), 0) }()
-	estimate := &overlap{}
-	g.assumeMean(time.Now())
-	samples := time.NewTicker(sampleInterval)
-	defer samples.Stop()
-	reports := time.NewTicker(reportInterval)
-	defer reports.Stop()
+	ticker := time.NewTicker(reportInterval)
+	defer ticker.Stop()
 	for {
+		o.updateForeign(ctx, g)
 		select {
 		case <-ctx.Done():
 			return
-		case now := <-samples.C:
-			estimate.record(loadSample{at: now, inFlight: g.inFlight()})
-			if !estimate.reported {
-				g.assumeMean(now)
-			}
-		case <-reports.C:
-			o.updateForeign(ctx, g, estimate)
+		case <-ticker.C:
 		}
 	}
 }
 
-func (o *Owner) updateForeign(ctx context.Context, g *gate, estimate *overlap) {
+func (o *Owner) updateForeign(ctx context.Context, g *gate) {
 	report, err := o.readLoad(ctx, g.name)
 	if err != nil {
 		return
 	}
-	estimate.reported = true
-	measuredAt := time.UnixMilli(report.MeasuredAtMS)
-	resumed := g.resumedSince(measuredAt.Add(-clockAllowance))
-	g.setForeign(time.Now(), max(0, estimate.foreign(report.Running+report.Waiting, measuredAt)-resumed))
+	g.takeReport(time.Now(), report.Running+report.Waiting, time.UnixMilli(report.MeasuredAtMS))
 }
 
-// assumeMean counts a former owner's requests up to the pool's mean, until the
-// upstream has reported its load.
-func (g *gate) assumeMean(now time.Time) {
+// beginOverlap returns false when the overlap is watched already. A gate
+// without requests assumes that a former owner has the mean of the pool, until
+// the upstream reports its load.
+func (g *gate) beginOverlap() bool {
 	g.mu.Lock()
-	mean, own := g.mean, g.scheduler.InFlight()+g.forced
-	g.mu.Unlock()
-	g.setForeign(now, max(0, int(math.Ceil(mean))-own))
+	defer g.mu.Unlock()
+	if g.overlapping {
+		return false
+	}
+	g.overlapping = true
+	if g.scheduler.InFlight()+g.forced == 0 {
+		g.setForeign(time.Now(), int(math.Ceil(g.mean)))
+	}
+	return true
+}
+
+func (g *gate) endOverlap() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.overlapping = false
+	g.setForeign(time.Now(), 0)
 }
 
-// resumedSince counts the running streams that were resumed here after a time:
-// an earlier report has counted them as the former owner's.
-func (g *gate) resumedSince(at time.Time) int {
+// takeReport updates the estimate of the foreign load. Streams that were
+// resumed here since the report was measured count there as the former
+// owner's.
+func (g *gate) takeReport(now time.Time, reported int, measuredAt time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	count := 0
+	foreign := g.history.foreign(reported, measuredAt)
 	for s := range g.resumed {
-		if s.started.After(at) {
-			count++
+		if s.started.After(measuredAt.Add(-clockAllowance)) {
+			foreign--
 		}
 	}
-	return count
+	g.setForeign(now, max(0, foreign))
 }
 
 var errNoReport = errors.New("upstream gave no load report")
--- a/internal/owner/overlap_test.go
+++ b/internal/owner/overlap_test.go
@@ -11,7 +11,7 @@
 // owner's requests. Sampling once a report did that, and left places empty
 // while requests waited.
 func TestOwnLoadIsNotForeign(t *testing.T) {
-	estimate := &overlap{}
+	estimate := &loadHistory{}
 	for i := range 40 {
 		estimate.record(loadSample{at: at(i * 50), inFlight: i})
 	}
@@ -21,7 +21,7 @@
 }
 
 func TestFormerOwnersLoadIsForeign(t *testing.T) {
-	estimate := &overlap{}
+	estimate := &loadHistory{}
 	for i := range 40 {
 		estimate.record(loadSample{at: at(i * 50), inFlight: 3})
 	}
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -167,6 +167,8 @@
 	Limit int `json:"limit"`
 	// Mean is the expected load that the bound was derived from.
 	Mean float64 `json:"mean"`
+	// Foreign estimates what a former owner still runs there.
+	Foreign int `json:"foreign"`
 }
 
 // Loads returns the load of each upstream that this router has served, in name
