Owner: an engine that comes back has to answer a probe first

A frozen engine accepts connections: each time its hold-down lapsed it was sent requests that nobody answered, and after its thaw it ran them beside new ones, 32 at a mean of 20.

--- a/internal/owner/gate.go
+++ b/internal/owner/gate.go
@@ -40,8 +40,7 @@
 	// waits ends the waits for first tokens when the upstream hangs.
 	waits    context.Context
 	endWaits context.CancelCauseFunc
-	// suspended is set while the upstream takes no new work.
-	suspended bool
+	use      use
 	// mean is the latest expected load.
 	mean float64
 }
@@ -137,21 +136,6 @@
 	g.deliver(g.scheduler.SetForeignLoad(now, g.foreign+g.forced))
 }
 
-// suspend refuses all waiting requests while the upstream takes no new work.
-func (g *gate) suspend(now time.Time, suspended bool) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if suspended == g.suspended {
-		return
-	}
-	g.suspended = suspended
-	if suspended {
-		g.deliver(g.scheduler.Drain(now))
-		return
-	}
-	g.scheduler.Resume()
-}
-
 // firstTokenContext returns a context that also ends, with
 // engineclient.ErrStalled, when the upstream is found to hang. The returned
 // function ends that after the first token.
--- a/internal/owner/gateset.go
+++ b/internal/owner/gateset.go
@@ -19,6 +19,8 @@
 	topology uint64
 	// overlaps are gates whose upstream may still run a former owner's requests.
 	overlaps []*gate
+	// returning are gates whose upstream has to answer a probe.
+	returning []*gate
 }
 
 func newGateSet(options Options) *gateSet {
@@ -39,6 +41,30 @@
 	return g
 }
 
+// updateUse suspends a gate while its upstream is out of use. One that comes
+// back has to answer a probe first.
+func (s *gateSet) updateUse(now time.Time, g *gate) {
+	state := s.options.View().Upstreams[g.name].State
+	if state != cluster.Live {
+		g.suspend(now)
+		return
+	}
+	if g.beginProbe() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.returning = append(s.returning, g)
+	}
+}
+
+// takeReturning returns the gates whose upstream has to answer a probe.
+func (s *gateSet) takeReturning() []*gate {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	returning := s.returning
+	s.returning = nil
+	return returning
+}
+
 // takeOverlaps returns the gates that became this router's since the last call.
 func (s *gateSet) takeOverlaps() []*gate {
 	s.mu.Lock()
@@ -104,7 +130,7 @@
 	for _, g := range s.all() {
 		if upstream := snapshot.Upstreams[g.name]; upstream != nil {
 			g.tick(now, upstream.Capacity, s.mean(upstream))
-			g.suspend(now, s.options.View().Upstreams[g.name].State != cluster.Live)
+			s.updateUse(now, g)
 			continue
 		}
 		s.drop(g)
--- a/internal/owner/metrics.go
+++ b/internal/owner/metrics.go
@@ -14,6 +14,7 @@
 	CachedTokens   metrics.Counter
 	QueueWait      metrics.Timer
 	LoadReports    metrics.Counter
+	Probes         metrics.Counter
 }
 
 // NewMetrics registers the metrics.
@@ -28,6 +29,7 @@
 		PromptTokens:   metrics.NewRegisteredCounter("owner.prompt.tokens", registry),
 		CachedTokens:   metrics.NewRegisteredCounter("owner.cached_prompt.tokens", registry),
 		LoadReports:    metrics.NewRegisteredCounter("owner.load_reports.requests", registry),
+		Probes:         metrics.NewRegisteredCounter("owner.probes.requests", registry),
 		QueueWait:      metrics.NewRegisteredTimer("owner.queue_wait.nanoseconds", registry),
 	}
 }
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -96,6 +96,9 @@
 			for _, g := range o.gates.takeOverlaps() {
 				go o.watchOverlap(ctx, g)
 			}
+			for _, g := range o.gates.takeReturning() {
+				go o.probe(ctx, g)
+			}
 		}
 	}
 }
