Placement: what all refuse goes to the least loaded, with the mean they named

When a fleet of idle engines got a burst, requests waited at engines whose averages were still zero while others had room by the loads that the owners had just named. The least loaded is below its bound by those loads, so it can take the request at once; waiting is left for exhausted capacity.

--- a/internal/placement/asks.go
+++ b/internal/placement/asks.go
@@ -9,6 +9,10 @@
 	Flexible bool
 	// Wait is how long the request may wait for a place; zero for not at all.
 	Wait time.Duration
+	// LeastLoaded asks the upstream that named the lowest load when it refused;
+	// Upstream is empty. The mean of the named loads goes with the question, by
+	// which that upstream is below its bound, whatever averages it has.
+	LeastLoaded bool
 	// LastResort lets the request wait up to its own deadline.
 	LastResort bool
 	// PoolFull says that all engines of the pool have been asked before.
@@ -30,8 +34,9 @@
 // rank. Where part of its prompt is cached, a request may use the whole bound,
 // and waits a little at the first choice, as that costs less than computing
 // the prefix again. Elsewhere it first looks for a place below the mean, so as
-// not to take the places of chats that return there. In the end it waits at
-// its first choice. The caller leaves out upstreams that have failed, and
+// not to take the places of chats that return there. When all have refused, it
+// goes to the least loaded, and waits at its first choice only when that has
+// no room either. The caller leaves out upstreams that have failed, and
 // those that answered to be at their bound.
 func Asks(ranked []string, o AskOptions) []Ask {
 	if len(ranked) == 0 {
@@ -39,7 +44,7 @@
 	}
 	probed := ranked[:min(max(o.Probes, 1), len(ranked))]
 	cached := min(max(o.Cached, 0), len(probed))
-	asks := make([]Ask, 0, 2*len(probed)+1)
+	asks := make([]Ask, 0, 2*len(probed)+2)
 	for _, upstream := range probed[:cached] {
 		asks = append(asks, Ask{Upstream: upstream})
 	}
@@ -53,6 +58,9 @@
 		asks = append(asks, Ask{Upstream: upstream})
 	}
 	whole := len(probed) == len(ranked)
+	if whole {
+		asks = append(asks, Ask{LeastLoaded: true, PoolFull: true})
+	}
 	return append(asks, Ask{Upstream: probed[0], LastResort: true, PoolFull: whole})
 }
 
--- a/internal/placement/asks_test.go
+++ b/internal/placement/asks_test.go
@@ -25,6 +25,7 @@
 	want := []Ask{
 		{Upstream: "a", Flexible: true}, {Upstream: "b", Flexible: true},
 		{Upstream: "a"}, {Upstream: "b"},
+		{LeastLoaded: true, PoolFull: true},
 		{Upstream: "a", LastResort: true, PoolFull: true},
 	}
 	if !slices.Equal(got, want) {
--- a/internal/placement/replay_test.go
+++ b/internal/placement/replay_test.go
@@ -432,6 +432,9 @@
 func (r *replay) ask(a arrival, asks []placement.Ask, since time.Duration) {
 	for i, ask := range asks {
 		e := r.engine(ask.Upstream)
+		if ask.LeastLoaded {
+			e = slices.MinFunc(r.engines, func(x, y *replayEngine) int { return x.inFlight - y.inFlight })
+		}
 		if e != nil && r.offer(e, ask, queuedTurn{arrival: a, rest: asks[i+1:], since: since}) {
 			return
 		}
@@ -466,6 +469,9 @@
 	if ask.Wait > 0 {
 		request.Deadline = r.clock().Add(ask.Wait)
 	}
+	if ask.PoolFull {
+		request.PoolMean = r.mean() // all owners named their loads
+	}
 	d := e.scheduler.Offer(r.clock(), request)
 	switch d.Verdict {
 	case admission.Admitted:
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -258,3 +258,37 @@
 		}
 	}
 }
+
+// busyTransport plays owners that refuse until a request carries the mean of
+// the loads that all of them named.
+type busyTransport struct {
+	loads   map[string]float64
+	granted *peerpb.ForwardRequest
+}
+
+func (b *busyTransport) Forward(_ context.Context, _ cluster.RouterView, request *peerpb.ForwardRequest,
+	receive func(*peerpb.ForwardEvent) error) error {
+	if request.GetPoolMean() == 0 {
+		refused := refusal.New(refusal.OwnerBusy, "test")
+		refused.UpstreamLoad = b.loads[request.GetUpstream()]
+		return refused
+	}
+	b.granted = request
+	if err := receive(headEvent(request.GetUpstream(), 0)); err != nil {
+		return err
+	}
+	return receive(&peerpb.ForwardEvent{Event: &peerpb.ForwardEvent_End{End: &peerpb.AnswerEnd{}}})
+}
+
+func TestRefusedEverywhereGoesToTheLeastLoaded(t *testing.T) {
+	transport := &busyTransport{loads: map[string]float64{
+		"engine-0": 4, "engine-1": 3, "engine-2": 1, "engine-3": 5, "engine-4": 2,
+	}}
+	if refused := testRelay(transport, 0).Serve(t.Context(), testCall(), &recordedAnswer{}); refused != nil {
+		t.Fatal(refused)
+	}
+	got := transport.granted
+	if got.GetUpstream() != "engine-2" || got.GetPoolMean() != 3 || got.GetMayWait() {
+		t.Fatalf("got %v", got)
+	}
+}
--- a/internal/relay/session.go
+++ b/internal/relay/session.go
@@ -77,6 +77,9 @@
 	}
 	for len(s.asks) > 0 {
 		ask := s.asks[0]
+		if ask.LeastLoaded {
+			ask.Upstream = s.leastLoaded()
+		}
 		if !s.skip(ask) {
 			return s.withOwner(attempt{ask: ask})
 		}
@@ -85,13 +88,26 @@
 	return s.lastResort()
 }
 
-// skip leaves out the upstreams that can't take the call. The last resort is
-// left out only when its upstream failed.
+// leastLoaded returns the upstream that named the lowest load, the best in
+// rank among equals; empty when none named one.
+func (s *session) leastLoaded() string {
+	best := ""
+	for _, upstream := range s.plan.Ranked {
+		load, known := s.loads[upstream]
+		if known && (best == "" || load < s.loads[best]) {
+			best = upstream
+		}
+	}
+	return best
+}
+
+// skip leaves out the upstreams that can't take the call. The least loaded and
+// the last resort are left out only when their upstream failed.
 func (s *session) skip(ask placement.Ask) bool {
 	if contains(s.progress.failed, ask.Upstream) || !usable(s.relay.View(), ask.Upstream) {
 		return true
 	}
-	return !ask.LastResort && contains(s.full, ask.Upstream)
+	return !ask.LastResort && !ask.LeastLoaded && contains(s.full, ask.Upstream)
 }
 
 // lastResort waits at the best upstream that has not failed.
@@ -146,7 +162,7 @@
 // poolMean returns the mean of the loads that owners named, once all upstreams
 // in rank have been asked and none has failed.
 func (s *session) poolMean(a attempt) float64 {
-	if !a.ask.LastResort || len(s.loads) < len(s.plan.Ranked) {
+	if !a.ask.PoolFull || len(s.loads) < len(s.plan.Ranked) {
 		return 0
 	}
 	sum := 0.0
