--- a/internal/relay/session.go
+++ b/internal/relay/session.go
@@ -75,11 +75,8 @@
 	if s.progress.stream.Stream != "" {
 		return s.withOwner(attempt{ask: placement.Ask{Upstream: s.progress.stream.Engine}, resume: true})
 	}
-	for len(s.asks) > 0 {
+	for len(s.asks) > 0 && !s.asks[0].LastResort {
 		ask := s.asks[0]
-		if ask.LeastLoaded {
-			ask.Upstream = s.leastLoaded()
-		}
 		if !s.skip(ask) {
 			return s.withOwner(attempt{ask: ask})
 		}
@@ -88,45 +85,45 @@
 	return s.lastResort()
 }
 
-// leastLoaded returns the upstream that named the lowest load, the best in
-// rank among equals; empty when none named one.
-func (s *session) leastLoaded() string {
-	best := ""
-	for _, upstream := range s.plan.Ranked {
-		load, known := s.loads[upstream]
-		if known && (best == "" || load < s.loads[best]) {
-			best = upstream
-		}
-	}
-	return best
-}
-
-// skip leaves out the upstreams that can't take the call. The least loaded and
-// the last resort are left out only when their upstream failed.
+// skip leaves out the upstreams that can't take the call.
 func (s *session) skip(ask placement.Ask) bool {
 	if contains(s.progress.failed, ask.Upstream) || s.stateOf(ask.Upstream) != cluster.Live {
 		return true
 	}
-	return !ask.LastResort && !ask.LeastLoaded && contains(s.full, ask.Upstream)
+	return contains(s.full, ask.Upstream)
 }
 
 func (s *session) stateOf(upstream string) cluster.UpstreamState {
 	return s.relay.View().Upstreams[upstream].State
 }
 
-// lastResort waits at the best upstream that has not failed: a live one, or
-// else a suspect one.
+// lastResort waits at the least loaded upstream that has not failed. With the
+// mean of the pool known, it has room there unless the pool is at its capacity.
 func (s *session) lastResort() (attempt, *refusal.Refusal) {
-	for _, state := range []cluster.UpstreamState{cluster.Live, cluster.Suspect} {
-		for _, upstream := range s.plan.Ranked {
-			if contains(s.progress.failed, upstream) || s.stateOf(upstream) != state {
-				continue
-			}
-			s.asks = []placement.Ask{{Upstream: upstream, LastResort: true}}
-			return s.withOwner(attempt{ask: s.asks[0]})
+	chosen, ok := s.leastLoaded(cluster.Live)
+	if !ok {
+		chosen, ok = s.leastLoaded(cluster.Suspect)
+	}
+	if !ok {
+		return attempt{}, s.giveUp(refusal.NoLiveUpstream, "every admitted upstream failed: retry later", retryAfterNoUpstream)
+	}
+	s.asks = []placement.Ask{{Upstream: chosen, LastResort: true, PoolFull: len(s.plan.Ranked) <= maxProbes}}
+	return s.withOwner(attempt{ask: s.asks[0]})
+}
+
+// leastLoaded returns the upstream in a state that named the lowest load, the
+// best in rank among equals; false when all in that state have failed.
+func (s *session) leastLoaded(state cluster.UpstreamState) (string, bool) {
+	best, found := "", false
+	for _, upstream := range s.plan.Ranked {
+		if contains(s.progress.failed, upstream) || s.stateOf(upstream) != state {
+			continue
+		}
+		if !found || s.loads[upstream] < s.loads[best] {
+			best, found = upstream, true
 		}
 	}
-	return attempt{}, s.giveUp(refusal.NoLiveUpstream, "every admitted upstream failed: retry later", retryAfterNoUpstream)
+	return best, found
 }
 
 func (s *session) withOwner(a attempt) (attempt, *refusal.Refusal) {
@@ -169,7 +166,7 @@
 // poolMean returns the mean of the loads that owners named, once all upstreams
 // in rank have been asked and none has failed.
 func (s *session) poolMean(a attempt) float64 {
-	if !a.ask.PoolFull || len(s.loads) < len(s.plan.Ranked) {
+	if !a.ask.LastResort || len(s.loads) == 0 || len(s.loads)+len(s.progress.failed) < len(s.plan.Ranked) {
 		return 0
 	}
 	sum := 0.0
