--- a/internal/placement/replay_test.go
+++ b/internal/placement/replay_test.go
@@ -433,7 +433,7 @@
 	for i, ask := range asks {
 		e := r.engine(ask.Upstream)
 		if ask.LastResort {
-			e = slices.MinFunc(r.engines, func(x, y *replayEngine) int { return x.inFlight - y.inFlight })
+			e = r.leastLoaded()
 		}
 		if e != nil && r.offer(e, ask, queuedTurn{arrival: a, rest: asks[i+1:], since: since}) {
 			return
@@ -444,6 +444,13 @@
 	}
 }
 
+// leastLoaded passes over an engine that refuses connections, since the turn
+// has failed there.
+func (r *replay) leastLoaded() *replayEngine {
+	up := slices.DeleteFunc(slices.Clone(r.engines), r.flaps)
+	return slices.MinFunc(up, func(x, y *replayEngine) int { return x.inFlight - y.inFlight })
+}
+
 func (r *replay) engine(name string) *replayEngine {
 	for _, e := range r.engines {
 		if e.name == name {
