--- a/internal/placement/replay_test.go
+++ b/internal/placement/replay_test.go
@@ -425,13 +425,16 @@
 	for _, name := range ranked {
 		asks = append(asks, placement.Ask{Upstream: name})
 	}
-	return append(asks, placement.Ask{Upstream: ranked[0], LastResort: true, PoolFull: true})
+	return append(asks, placement.Ask{LastResort: true, PoolFull: true})
 }
 
 // ask puts the questions in order until an engine takes the turn.
 func (r *replay) ask(a arrival, asks []placement.Ask, since time.Duration) {
 	for i, ask := range asks {
 		e := r.engine(ask.Upstream)
+		if ask.LastResort {
+			e = r.leastLoaded()
+		}
 		if e != nil && r.offer(e, ask, queuedTurn{arrival: a, rest: asks[i+1:], since: since}) {
 			return
 		}
@@ -441,6 +444,13 @@
 	}
 }
 
+// leastLoaded passes over an engine that refuses connections, since the turn
+// has failed there.
+func (r *replay) leastLoaded() *replayEngine {
+	up := slices.DeleteFunc(slices.Clone(r.engines), r.flaps)
+	return slices.MinFunc(up, func(x, y *replayEngine) int { return x.inFlight - y.inFlight })
+}
+
 func (r *replay) engine(name string) *replayEngine {
 	for _, e := range r.engines {
 		if e.name == name {
@@ -466,6 +476,9 @@
 	if ask.Wait > 0 {
 		request.Deadline = r.clock().Add(ask.Wait)
 	}
+	if ask.PoolFull {
+		request.PoolMean = r.mean() // all owners named their loads
+	}
 	d := e.scheduler.Offer(r.clock(), request)
 	switch d.Verdict {
 	case admission.Admitted:
