Proofs check that their faults struck

Cause: a proof whose fault has no effect proves nothing. Routers hold no lease, so the row with lapsed leases was empty; two frozen routers take its place.

--- a/internal/prove/harness_test.go
+++ b/internal/prove/harness_test.go
@@ -161,9 +161,10 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), readyTimeout)
 	defer cancel()
-	if _, err := f.committer("prove").Commit(ctx, 0, source.Changes()); err != nil {
-		f.t.Fatal(err)
-	}
+	f.eventually("the declarations are committed", func() bool {
+		_, err := f.committer("prove").Commit(ctx, 0, source.Changes())
+		return err == nil
+	})
 }
 
 func (f *testFleet) waitReady() {
--- a/internal/prove/proofs_test.go
+++ b/internal/prove/proofs_test.go
@@ -34,37 +34,37 @@
 
 func wholeAnswerProofs() []replayed {
 	return []replayed{
-		{promise: promiseWholeAnswers, fault: "engine killed mid-stream", short: true, outcomes: wholeAnswers(),
+		{promise: promiseWholeAnswers, fault: "engine killed mid-stream", short: true, effects: []effect{streamsBroke()}, outcomes: wholeAnswers(),
 			faults: []trace.Fault{fault(2500, "engine-2", trace.ActionKill)}},
-		{promise: promiseWholeAnswers, fault: "engine frozen for three seconds", outcomes: wholeAnswers(),
+		{promise: promiseWholeAnswers, fault: "engine frozen for three seconds", effects: []effect{streamsBroke()}, outcomes: wholeAnswers(),
 			faults: []trace.Fault{fault(2000, "engine-2", trace.ActionFreeze), fault(5000, "engine-2", trace.ActionThaw)}},
-		{promise: promiseWholeAnswers, fault: "open connections of an engine go silent", outcomes: wholeAnswers(),
+		{promise: promiseWholeAnswers, fault: "open connections of an engine go silent", effects: []effect{streamsBroke(), counted("engine-3", "went_silent")}, outcomes: wholeAnswers(),
 			faults: []trace.Fault{perform(2500, "engine-3", body{"silence_open": true})}},
-		{promise: promiseWholeAnswers, fault: "streams of an engine cut and chunks of streams swapped", outcomes: wholeAnswers(),
+		{promise: promiseWholeAnswers, fault: "streams of an engine cut and chunks of streams swapped", effects: []effect{counted("engine-1", "cut"), counted("engine-3", "chunks_swapped")}, outcomes: wholeAnswers(),
 			faults: []trace.Fault{
 				set(1000, "engine-1", body{"cut": body{"count": 8, "after_tokens": 10}}),
 				set(1000, "engine-3", body{"swap_chunks": 6, "duplicate_chunks": 6}),
 			}},
-		{promise: promiseWholeAnswers, fault: "router killed mid-stream", outcomes: wholeAnswers(),
+		{promise: promiseWholeAnswers, fault: "router killed mid-stream", effects: []effect{callersRetried()}, outcomes: wholeAnswers(),
 			faults: []trace.Fault{fault(2500, "router-1", trace.ActionKill)}},
-		{promise: promiseWholeAnswers, fault: "router frozen for good", outcomes: wholeAnswers(),
+		{promise: promiseWholeAnswers, fault: "router frozen for good", effects: []effect{callersRetried()}, outcomes: wholeAnswers(),
 			faults: []trace.Fault{fault(2500, "router-2", trace.ActionFreeze)}},
-		{promise: promiseWholeAnswers, fault: "engine and router killed at once", outcomes: wholeAnswers(),
+		{promise: promiseWholeAnswers, fault: "engine and router killed at once", effects: []effect{inUse("engine-4", 2500), callersRetried()}, outcomes: wholeAnswers(),
 			faults: []trace.Fault{fault(2500, "engine-4", trace.ActionKill), fault(2500, "router-3", trace.ActionKill)}},
-		{promise: promiseWholeAnswers, fault: "key-value service down while an engine is killed", outcomes: wholeAnswers(),
+		{promise: promiseWholeAnswers, fault: "key-value service down while an engine is killed", effects: []effect{streamsBroke(), counted("key-value", "outage_failed")}, outcomes: wholeAnswers(),
 			faults: []trace.Fault{set(500, "key-value", body{"outage": "cut"}), fault(2500, "engine-1", trace.ActionKill)}},
 	}
 }
 
 func notRunProofs() []replayed {
 	return []replayed{
-		{promise: promiseNotRun, fault: "key-value service cuts every call for four seconds", short: true, outcomes: notRunIsTrue(),
+		{promise: promiseNotRun, fault: "key-value service cuts every call for four seconds", short: true, effects: []effect{counted("key-value", "outage_failed")}, outcomes: notRunIsTrue(),
 			faults: []trace.Fault{set(1000, "key-value", body{"outage": "cut"}), set(5000, "key-value", body{"outage": ""})}},
-		{promise: promiseNotRun, fault: "service closes connections before it runs calls", outcomes: notRunIsTrue(),
+		{promise: promiseNotRun, fault: "service closes connections before it runs calls", effects: []effect{counted("booking-1", "refused_before"), counted("booking-2", "refused_before")}, outcomes: notRunIsTrue(),
 			faults: []trace.Fault{set(1000, "booking-1", body{"refuse_before": 8}), set(1000, "booking-2", body{"refuse_before": 8})}},
-		{promise: promiseNotRun, fault: "service runs calls and answers with an error", outcomes: notRunIsTrue(),
+		{promise: promiseNotRun, fault: "service runs calls and answers with an error", effects: []effect{counted("booking-1", "errors"), counted("booking-2", "errors")}, outcomes: notRunIsTrue(),
 			faults: []trace.Fault{set(1000, "booking-1", body{"errors_after": 8}), set(1000, "booking-2", body{"errors_after": 8})}},
-		{promise: promiseNotRun, fault: "key-value service frozen and a router killed", outcomes: notRunIsTrue(),
+		{promise: promiseNotRun, fault: "key-value service frozen and a router killed", effects: []effect{callersRetried()}, outcomes: notRunIsTrue(),
 			faults: []trace.Fault{fault(1500, "key-value", trace.ActionFreeze), fault(2000, "router-2", trace.ActionKill), fault(5000, "key-value", trace.ActionThaw)}},
 	}
 }
@@ -72,19 +72,22 @@
 func atMostOnceProofs() []replayed {
 	slow := body{"delay_ms": 300}
 	return []replayed{
-		{promise: promiseAtMostOnce, fault: "router killed while actions run", short: true, outcomes: atMostOnce(),
+		{promise: promiseAtMostOnce, fault: "router killed while actions run", short: true, effects: []effect{callersRetried()}, outcomes: atMostOnce(),
 			faults: []trace.Fault{set(0, "booking-1", slow), set(0, "booking-2", slow), fault(2500, "router-1", trace.ActionKill)}},
-		{promise: promiseAtMostOnce, fault: "service runs calls and loses the replies", outcomes: atMostOnce(),
+		{promise: promiseAtMostOnce, fault: "service runs calls and loses the replies", effects: []effect{counted("booking-1", "replies_lost"), counted("booking-2", "replies_lost")}, outcomes: atMostOnce(),
 			faults: []trace.Fault{set(1000, "booking-1", body{"lose_replies": 5}), set(1000, "booking-2", body{"lose_replies": 5})}},
-		{promise: promiseAtMostOnce, fault: "writes of the key-value service applied with their replies lost", outcomes: atMostOnce(),
+		{promise: promiseAtMostOnce, fault: "writes of the key-value service applied with their replies lost", effects: []effect{counted("key-value", "replies_lost")}, outcomes: atMostOnce(),
 			faults: []trace.Fault{set(500, "key-value", body{"lose_write_replies": 40})}},
-		{promise: promiseAtMostOnce, fault: "router frozen while actions run, and thawed", outcomes: atMostOnce(),
+		{promise: promiseAtMostOnce, fault: "router frozen while actions run, and thawed", effects: []effect{unknownOutcomes()}, outcomes: atMostOnce(),
 			faults: []trace.Fault{set(0, "booking-1", slow), set(0, "booking-2", slow), fault(1500, "router-2", trace.ActionFreeze), fault(5500, "router-2", trace.ActionThaw)}},
-		{promise: promiseAtMostOnce, fault: "all leases lapse", outcomes: atMostOnce(),
-			faults: []trace.Fault{perform(2000, "key-value", body{"expire_all_leases": true}), perform(3500, "key-value", body{"expire_all_leases": true})}},
-		{promise: promiseAtMostOnce, fault: "router killed while the key-value service loses replies", outcomes: atMostOnce(),
+		{promise: promiseAtMostOnce, fault: "two routers frozen in turn while actions run, and thawed", effects: []effect{slowCalls()}, outcomes: atMostOnce(),
+			faults: []trace.Fault{
+				set(0, "booking-1", slow), set(0, "booking-2", slow), fault(1000, "router-3", trace.ActionFreeze), fault(2500, "router-3", trace.ActionThaw),
+				fault(3000, "router-1", trace.ActionFreeze), fault(5500, "router-1", trace.ActionThaw),
+			}},
+		{promise: promiseAtMostOnce, fault: "router killed while the key-value service loses replies", effects: []effect{callersRetried(), counted("key-value", "replies_lost")}, outcomes: atMostOnce(),
 			faults: []trace.Fault{set(0, "booking-1", slow), set(1500, "key-value", body{"lose_write_replies": 40}), fault(2500, "router-3", trace.ActionKill)}},
-		{promise: promiseAtMostOnce, fault: "router frozen during an outage of the key-value service, and thawed", outcomes: atMostOnce(),
+		{promise: promiseAtMostOnce, fault: "router frozen during an outage of the key-value service, and thawed", effects: []effect{callersRetried(), counted("key-value", "outage_failed")}, outcomes: atMostOnce(),
 			faults: []trace.Fault{
 				set(0, "booking-2", slow), fault(1500, "router-1", trace.ActionFreeze), set(2000, "key-value", body{"outage": "cut"}),
 				set(4000, "key-value", body{"outage": ""}), fault(5500, "router-1", trace.ActionThaw),
@@ -101,7 +104,7 @@
 		{promise: promiseNoNewWork, fault: "engine shuts down", outcomes: noNewWork(), faults: []trace.Fault{fault(1000, "engine-1", trace.ActionShutdown)}},
 		{promise: promiseNoNewWork, fault: "engine drained and then a router killed", outcomes: noNewWork(), changes: drain,
 			faults: []trace.Fault{fault(1500, "router-1", trace.ActionKill)}},
-		{promise: promiseNoNewWork, fault: "engine leaves during an outage of the key-value service", outcomes: noNewWork(),
+		{promise: promiseNoNewWork, fault: "engine leaves during an outage of the key-value service", effects: []effect{counted("key-value", "outage_failed")}, outcomes: noNewWork(),
 			faults: []trace.Fault{set(500, "key-value", body{"outage": "cut"}), leave}},
 	}
 }
@@ -127,7 +130,7 @@
 	return []replayed{
 		{promise: promiseConfiguration, fault: "watches end and miss changes", short: true, outcomes: inForce(), changes: changes,
 			faults: []trace.Fault{perform(1000, "key-value", body{"drop_watch_events": 20}), perform(2000, "key-value", body{"end_watches": true})}},
-		{promise: promiseConfiguration, fault: "replies to commits lost", outcomes: inForce(), changes: changes,
+		{promise: promiseConfiguration, fault: "replies to commits lost", effects: []effect{counted("key-value", "replies_lost")}, outcomes: inForce(), changes: changes,
 			faults: []trace.Fault{set(1000, "key-value", body{"lose_write_replies": 20})}},
 		{promise: promiseConfiguration, fault: "watches late by two seconds and a router killed", outcomes: inForce(), changes: changes,
 			faults: []trace.Fault{set(1000, "key-value", body{"watch_delay_ms": 2000}), fault(2000, "router-1", trace.ActionKill)}},
--- a/internal/prove/replayed_test.go
+++ b/internal/prove/replayed_test.go
@@ -36,6 +36,8 @@
 	faults   []trace.Fault
 	changes  []trace.Change
 	outcomes []trace.Outcome
+	// effects show that the faults struck.
+	effects []effect
 	// adjust changes the profile; nil keeps it.
 	adjust func(*trace.Profile)
 }
@@ -66,6 +68,11 @@
 			t.Errorf("fault of %s: %s", failed.Target, failed.Failure)
 		}
 	}
+	for _, e := range p.effects {
+		if !e.seen(f, record) {
+			t.Errorf("the fault had no effect: not seen that %s", e.what)
+		}
+	}
 	for _, v := range verdicts {
 		if v.Judgement != replay.Pass {
 			t.Error(v)
