--- a/internal/configstore/manager.go
+++ b/internal/configstore/manager.go
@@ -1,6 +1,7 @@
 package configstore
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"sync"
@@ -9,6 +10,7 @@
 
 	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
+	"golang.org/x/time/rate"
 
 	"github.com/verbenatrail/verbenatrail/internal/declare"
 	"github.com/verbenatrail/verbenatrail/internal/fleet"
@@ -26,6 +28,11 @@
 	// no watcher is left.
 	DefaultMemberPoll = 10 * time.Second
 
+	// wholeCopiesPerSecond and wholeCopyBurst bound the whole copies that a
+	// process serves to peers; a peer that gets none asks another.
+	wholeCopiesPerSecond = 1
+	wholeCopyBurst       = 4
+
 	tickInterval = 100 * time.Millisecond
 	// roleCheck is how often a process that doesn't watch looks whether it is to.
 	roleCheck      = 100 * time.Millisecond
@@ -47,7 +54,7 @@
 	IsWatcher func() bool
 	// Rollout bounds the decisions; the zero value means the defaults.
 	Rollout rollout.Settings
-	// WatcherPoll and MemberPoll default to the constants above.
+	// WatcherPoll and MemberPoll default, when zero, to the constants above.
 	WatcherPoll, MemberPoll time.Duration
 	// Registry receives the counters; nil means a new registry.
 	Registry metrics.Registry
@@ -66,7 +73,9 @@
 	machine  *rollout.Machine
 	inbox    chan message
 	current  atomic.Pointer[view]
-	fetches  sync.WaitGroup
+	// whole limits the whole copies that are served.
+	whole   *rate.Limiter
+	fetches sync.WaitGroup
 }
 
 // message is an event with the content that it brings.
@@ -100,36 +109,40 @@
 
 // New returns a Manager without a configuration; Run starts it.
 func New(options Options) *Manager {
-	if options.IsWatcher == nil {
-		options.IsWatcher = func() bool { return true }
-	}
-	if options.Rollout == (rollout.Settings{}) {
-		options.Rollout = rollout.DefaultSettings()
+	options = options.withDefaults()
+	m := &Manager{
+		options: options, counters: newCounters(options.Registry), inbox: make(chan message, inboxSize),
+		whole: rate.NewLimiter(wholeCopiesPerSecond, wholeCopyBurst),
 	}
-	if options.PeerFetch == nil {
-		// There are no peers to wait for.
-		options.Rollout.StartGrace = 0
+	if options.Store != nil {
+		m.reader = &Reader{store: options.Store, bytes: m.counters.storeBytes}
 	}
-	if options.WatcherPoll <= 0 {
-		options.WatcherPoll = DefaultWatcherPoll
+	return m
+}
+
+func (o Options) withDefaults() Options {
+	if o.IsWatcher == nil {
+		o.IsWatcher = func() bool { return true }
 	}
-	if options.MemberPoll <= 0 {
-		options.MemberPoll = DefaultMemberPoll
+	if o.Rollout == (rollout.Settings{}) {
+		o.Rollout = rollout.DefaultSettings()
 	}
-	if options.Registry == nil {
-		options.Registry = metrics.NewRegistry()
+	if o.PeerFetch == nil {
+		// There are no peers to wait for.
+		o.Rollout.StartGrace = 0
 	}
-	if options.Logger == nil {
-		options.Logger = logrus.StandardLogger()
+	o.WatcherPoll = cmp.Or(o.WatcherPoll, DefaultWatcherPoll)
+	o.MemberPoll = cmp.Or(o.MemberPoll, DefaultMemberPoll)
+	if o.Registry == nil {
+		o.Registry = metrics.NewRegistry()
 	}
-	if options.Seed == 0 {
-		options.Seed = rand.Uint64()
+	if o.Logger == nil {
+		o.Logger = logrus.StandardLogger()
 	}
-	m := &Manager{options: options, counters: newCounters(options.Registry), inbox: make(chan message, inboxSize)}
-	if options.Store != nil {
-		m.reader = &Reader{store: options.Store, bytes: m.counters.storeBytes}
+	if o.Seed == 0 {
+		o.Seed = rand.Uint64()
 	}
-	return m
+	return o
 }
 
 // Snapshot returns the revision in force, or nil before there is any.
@@ -185,7 +198,7 @@
 	if v == nil {
 		return &peerpb.ConfigResponse{}
 	}
-	response, err := v.answer(request.GetHaveRevision())
+	response, err := v.answer(request.GetHaveRevision(), m.whole.Allow)
 	if err != nil {
 		m.options.Logger.WithError(err).Error("configuration can't be served to a peer")
 		return &peerpb.ConfigResponse{}
