--- a/internal/callers/chat.go
+++ b/internal/callers/chat.go
@@ -41,6 +41,9 @@
 	// Attempts counts the connections used, Resumes those that continued a
 	// stream, and Restarts those that began the answer anew.
 	Attempts, Resumes, Restarts int
+	// Lost counts the connections that broke or went silent before the
+	// caller's own deadline.
+	Lost int
 	// FirstToken is the time from the call until the first token.
 	FirstToken time.Duration
 }
@@ -67,8 +70,17 @@
 	answer    *ChatAnswer
 }
 
-// attempt sends the turn to one router and reads what it sends.
+// attempt makes one exchange and counts it when it is lost.
 func (s *chatSession) attempt(ctx context.Context, router string) error {
+	err := s.exchange(ctx, router)
+	if errors.Is(err, ErrConnectionLost) && ctx.Err() == nil {
+		s.answer.Lost++
+	}
+	return err
+}
+
+// exchange sends the turn to one router and reads what it sends.
+func (s *chatSession) exchange(ctx context.Context, router string) error {
 	watchdog, ctx := newWatchdog(ctx, &s.client.settings)
 	defer watchdog.stop()
 	request, err := s.request(ctx, router)
--- a/internal/callers/service.go
+++ b/internal/callers/service.go
@@ -42,7 +42,10 @@
 	// Router is the address of the last router used.
 	Router   string
 	Attempts int
-	Latency  time.Duration
+	// Lost counts the connections that broke or went silent before the
+	// caller's own deadline.
+	Lost    int
+	Latency time.Duration
 }
 
 // Call sends one service call and returns the service's answer. Outcome is set
@@ -71,15 +74,18 @@
 		s.route.addresses = s.route.addresses[1:]
 		router = s.route.addresses[0]
 	}
-	watchdog, ctx := newWatchdog(ctx, &s.client.settings)
+	watchdog, watched := newWatchdog(ctx, &s.client.settings)
 	defer watchdog.stop()
-	request, err := s.request(ctx, router)
+	request, err := s.request(watched, router)
 	if err != nil {
 		return err
 	}
 	s.answer.Attempts++
 	s.answer.Router = router
 	err = s.exchange(request, watchdog)
+	if errors.Is(err, ErrConnectionLost) && ctx.Err() == nil {
+		s.answer.Lost++
+	}
 	s.answer.Outcome = nextOutcome(s.answer.Outcome, err)
 	return err
 }
--- a/internal/prove/profile_test.go
+++ b/internal/prove/profile_test.go
@@ -91,7 +91,9 @@
 }
 
 func nothingCut() []trace.Outcome {
-	return append(wholeAnswers(), trace.Outcome{Measure: trace.MeasureBrokenStreams, Bound: 0})
+	return append(wholeAnswers(),
+		trace.Outcome{Measure: trace.MeasureBrokenStreams, Bound: 0},
+		trace.Outcome{Measure: trace.MeasureCutConnections, Bound: 0})
 }
 
 func inForce() []trace.Outcome {
--- a/internal/prove/proofs_test.go
+++ b/internal/prove/proofs_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 
 	"github.com/verbenatrail/verbenatrail/internal/trace"
 )
@@ -10,7 +11,7 @@
 type body = map[string]any
 
 func replayedProofs() []replayed {
-	return slices.Concat(evenLoadProofs(), wholeAnswerProofs(), notRunProofs(), atMostOnceProofs(),
+	return slices.Concat(evenLoadProofs(), wholeAnswerProofs(), killedDaemonProofs(), notRunProofs(), atMostOnceProofs(),
 		noNewWorkProofs(), nothingCutProofs(), configurationProofs())
 }
 
@@ -45,8 +46,6 @@
 				set(1000, "engine-1", body{"cut": body{"count": 8, "after_tokens": 10}}),
 				set(1000, "engine-3", body{"swap_chunks": 6, "duplicate_chunks": 6}),
 			}},
-		{promise: promiseWholeAnswers, fault: "router killed mid-stream", effects: []effect{callersRetried()}, outcomes: wholeAnswers(),
-			faults: []trace.Fault{fault(2500, "router-1", trace.ActionKill)}},
 		{promise: promiseWholeAnswers, fault: "router frozen for good", effects: []effect{callersRetried()}, outcomes: wholeAnswers(),
 			faults: []trace.Fault{fault(2500, "router-2", trace.ActionFreeze)}},
 		{promise: promiseWholeAnswers, fault: "engine and router killed at once", effects: []effect{inUse("engine-4", 2500), callersRetried()}, outcomes: wholeAnswers(),
@@ -56,6 +55,20 @@
 	}
 }
 
+// killedDaemonProofs kill each daemon in turn.
+func killedDaemonProofs() []replayed {
+	var proofs []replayed
+	for _, name := range []string{"router-1", "router-2", "router-3", "directory-1", "directory-2"} {
+		p := replayed{promise: promiseWholeAnswers, fault: name + " killed mid-stream", outcomes: wholeAnswers(),
+			faults: []trace.Fault{fault(2500, name, trace.ActionKill)}}
+		if strings.HasPrefix(name, "router") {
+			p.effects = []effect{callersRetried()}
+		}
+		proofs = append(proofs, p)
+	}
+	return proofs
+}
+
 func notRunProofs() []replayed {
 	return []replayed{
 		{promise: promiseNotRun, fault: "key-value service cuts every call for four seconds", short: true, effects: []effect{counted("key-value", "outage_failed")}, outcomes: notRunIsTrue(),
--- a/internal/replay/chats.go
+++ b/internal/replay/chats.go
@@ -75,7 +75,7 @@
 	record := TurnRecord{
 		ID: turn.ID, Workspace: turn.Workspace, Chat: turn.Chat, Upstream: answer.Upstream, Returning: turn.Turn > 0,
 		CachedTokens: answer.Usage.PromptTokensDetails.CachedTokens,
-		Attempts:     answer.Attempts, Resumes: answer.Resumes, Restarts: answer.Restarts,
+		Attempts:     answer.Attempts, Resumes: answer.Resumes, Restarts: answer.Restarts, Lost: answer.Lost,
 		FirstToken: answer.FirstToken,
 	}
 	if err != nil {
--- a/internal/replay/judge.go
+++ b/internal/replay/judge.go
@@ -92,6 +92,8 @@
 		return measureNewWorkOfLeaving(r)
 	case trace.MeasureBrokenStreams:
 		return measureBrokenStreams(r), ""
+	case trace.MeasureCutConnections:
+		return countLost(r), ""
 	case trace.MeasureControlBytes:
 		return measureControlBytes(r)
 	case trace.MeasureConfiguration:
@@ -113,6 +115,17 @@
 	return count
 }
 
+func countLost(r *Record) float64 {
+	lost := 0
+	for _, t := range r.Turns {
+		lost += t.Lost
+	}
+	for _, c := range r.Calls {
+		lost += c.Lost
+	}
+	return float64(lost)
+}
+
 func shareOfTurns(r *Record, match func(*TurnRecord) bool) (float64, string) {
 	if len(r.Trace.Turns) == 0 {
 		return 0, "the trace has no turns"
--- a/internal/replay/judge_test.go
+++ b/internal/replay/judge_test.go
@@ -89,6 +89,7 @@
 		{trace.MeasureReuseOfPossible, func(r *Record) { r.Turns[1].CachedTokens = 50 }},
 		{trace.MeasureNewWorkOfLeaving, func(r *Record) { r.Samples[last].Engines[0].Accepted = 6 }},
 		{trace.MeasureBrokenStreams, func(r *Record) { r.Samples[last].Daemons[0].BrokenStreams = 1 }},
+		{trace.MeasureCutConnections, func(r *Record) { r.Calls[0].Lost = 1 }},
 		{trace.MeasureControlBytes, func(r *Record) { r.Samples[last].Daemons[0].ControlBytes = 5000 }},
 		{trace.MeasureConfiguration, func(r *Record) { r.Changes[0].Revision = 3 }},
 		{trace.MeasureReverts, func(r *Record) { r.Samples[last].Daemons[0].Revision = 1 }},
--- a/internal/replay/record.go
+++ b/internal/replay/record.go
@@ -33,7 +33,9 @@
 	// CachedTokens the part of the prompt that came from a cache.
 	PrefixTokens, CachedTokens  int
 	Attempts, Resumes, Restarts int
-	FirstToken, Latency         time.Duration
+	// Lost counts the caller's connections that broke or went silent.
+	Lost                int
+	FirstToken, Latency time.Duration
 }
 
 // CallRecord is what became of one sending of a service call.
@@ -47,7 +49,9 @@
 	Status   int
 	Failure  string
 	Attempts int
-	Latency  time.Duration
+	// Lost counts the caller's connections that broke or went silent.
+	Lost    int
+	Latency time.Duration
 }
 
 // ChangeRecord is one commit of an operator.
--- a/internal/trace/trace.go
+++ b/internal/trace/trace.go
@@ -271,6 +271,9 @@
 	MeasureNewWorkOfLeaving Measure = "new_work_of_leaving"
 	// MeasureBrokenStreams counts streams of engines that broke off.
 	MeasureBrokenStreams Measure = "broken_streams"
+	// MeasureCutConnections counts connections of callers that broke off or
+	// went silent before the answer ended.
+	MeasureCutConnections Measure = "cut_connections"
 	// MeasureControlBytes is the highest control traffic of a router, in bytes
 	// per second.
 	MeasureControlBytes Measure = "control_bytes_per_s"
@@ -286,7 +289,7 @@
 	MeasureWholeAnswers, MeasureWrongAnswers, MeasureRefusedTurns,
 	MeasureExecutions, MeasureNotRunExecutions, MeasureDoneWithoutRun, MeasureConfirmedActions,
 	MeasureSkew, MeasureReuse, MeasureReuseOfPossible,
-	MeasureNewWorkOfLeaving, MeasureBrokenStreams, MeasureControlBytes, MeasureConfiguration, MeasureReverts,
+	MeasureNewWorkOfLeaving, MeasureBrokenStreams, MeasureCutConnections, MeasureControlBytes, MeasureConfiguration, MeasureReverts,
 }
 
 // LeavingGrace is how long after its notice a leaving engine may get new work.
