--- a/internal/capacity/changes.go
+++ b/internal/capacity/changes.go
@@ -12,6 +12,7 @@
 	"github.com/verbenatrail/verbenatrail/internal/declare"
 	"github.com/verbenatrail/verbenatrail/internal/standin"
 	"github.com/verbenatrail/verbenatrail/internal/standin/kvserver"
+	"github.com/verbenatrail/verbenatrail/internal/telemetry"
 )
 
 const (
@@ -90,6 +91,8 @@
 	if err != nil {
 		return err
 	}
+	e.note("memory after changes: resident, largest router", "B", busy.after.highest(telemetry.GaugeResident))
+	e.note("memory after changes: resident, directory", "B", busy.after.directory.gauge(telemetry.GaugeResident))
 	e.noteChangeCosts(e.idle, busy)
 	return nil
 }
