--- a/internal/placement/measure_test.go
+++ b/internal/placement/measure_test.go
@@ -89,7 +89,11 @@
 		planned: true, remembers: true, patience: 3, headroom: measuredHeadroom,
 		holdDown: membership.DefaultSettings(), rank: byStrategy(placement.Rendezvous{}),
 	}
-	stale, flapping, forgetful := base, base, base
+	byEngine, asNew := base, base
+	byEngine.byEngine = true
+	asNew.byEngine, asNew.unknownIsNew = true, true
+	stale, flapping, forgetful, loss := base, base, base, base
+	loss.losesDomain = true
 	stale.staleLists = true
 	flapping.flapping = true
 	forgetful.flapping, forgetful.remembers = true, false
@@ -102,6 +106,9 @@
 		holdDown membership.Settings
 	}{
 		{"undisturbed", base, base.holdDown},
+		{"router by first engine", byEngine, base.holdDown},
+		{"router by first engine, as new", asNew, base.holdDown},
+		{"three of twelve engines lost", loss, base.holdDown},
 		{"lists differ for 5 s", stale, base.holdDown},
 		{"flapping, hold-down", flapping, base.holdDown},
 		{"flapping, no hold-down", flapping, noHoldDown},
@@ -110,8 +117,8 @@
 	} {
 		line.policy.holdDown = line.holdDown
 		r := newReplay(line.policy, mean, time.Second).run(arrivals)
-		fmt.Printf("%-34s reuse %.3f  moved %.2f%%  over %.2f%%  refused %.2f%%\n", line.name, r.reuse(),
-			percent(r.moved, r.turns), percent(r.over, r.samples), percent(r.refused, r.turns))
+		fmt.Printf("%-34s reuse %.3f  moved %.2f%%  over %.2f%%  refused %.2f%%  uneven at 7m30s for %v\n", line.name, r.reuse(),
+			percent(r.moved, r.turns), percent(r.over, r.samples), percent(r.refused, r.turns), r.unevenAfterLoss)
 	}
 }
 
