Capacity: an engine stand-in for each listed engine under load

Listed engines shared a stand-in, whose load report counts them all, so that a new owner took the others' chats for those of a former owner, for the 15 s that it allows for these. Change: the load case starts one stand-in for each listed engine.

--- a/cmd/vt-capacity/prepare.go
+++ b/cmd/vt-capacity/prepare.go
@@ -50,6 +50,7 @@
 	flags.IntVar(&size.Routers, "routers", 8, "routers")
 	flags.IntVar(&size.Engines, "engines", 60, "listed engines")
 	flags.IntVar(&size.Workspaces, "workspaces", 100, "declared workspaces")
+	flags.IntVar(&size.EngineServers, "engine-servers", 4, "stand-ins that serve the listed engines")
 	flags.IntVar(&size.Models, "models", 12, "models")
 	flags.Uint64Var(&seed, "seed", defaultSeed, "seed of the load")
 	flags.IntVar(&firstPort, "first-port", defaultFirstPort, "first of the ports on 127.0.0.1")
--- a/internal/capacity/capacity_test.go
+++ b/internal/capacity/capacity_test.go
@@ -135,7 +135,7 @@
 
 func TestLayoutFilesAreValid(t *testing.T) {
 	dir := t.TempDir()
-	layout := NewLayout(Size{Routers: 3, Engines: 6, Workspaces: 10, Models: 2}, 1, 24000)
+	layout := NewLayout(Size{Routers: 3, Engines: 6, Workspaces: 10, Models: 2, EngineServers: 2}, 1, 24000)
 	if err := layout.Write(dir); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/capacity/functions.go
+++ b/internal/capacity/functions.go
@@ -170,7 +170,7 @@
 // hostLists measures the list as the platform sends it, plain and zipped.
 func (f *functions) hostLists() {
 	for _, count := range memberCounts {
-		layout := NewLayout(Size{Routers: count, Engines: count * targetEngines / targetRouters}, 1, firstListedPort)
+		layout := NewLayout(Size{Routers: count, Engines: count * targetEngines / targetRouters, EngineServers: 1}, 1, firstListedPort)
 		list := layout.Hosts()
 		plain, err := json.Marshal(list)
 		if err != nil {
--- a/internal/capacity/layout.go
+++ b/internal/capacity/layout.go
@@ -14,9 +14,6 @@
 )
 
 const (
-	// engineServers is the number of engine stand-ins that serve the listed
-	// engines.
-	engineServers = 4
 	// instanceCount is the number of service stand-ins.
 	instanceCount = 2
 	// portsPerRouter are for callers, peers and admin.
@@ -26,17 +23,17 @@
 	dirPermission  = 0o755
 )
 
-// Ports of the stand-ins and the directory, counted from the first port.
+// Ports of the stand-ins and the directory, counted from the first port; those
+// of the engine stand-ins and then of the routers follow.
 const (
 	portKV = iota
 	portHostList
 	portDirectoryCallers
 	portDirectoryPeers
 	portDirectoryAdmin
-	portEngines
-	portInstances = portEngines + engineServers
-	portSteward   = portInstances + instanceCount
-	portRouters   = portSteward + 1
+	portSteward
+	portInstances
+	portEngines = portInstances + instanceCount
 )
 
 // Node is the addresses of one router or directory.
@@ -71,14 +68,14 @@
 			Peers: at(portDirectoryPeers), Admin: at(portDirectoryAdmin),
 		},
 	}
-	for i := range engineServers {
+	for i := range size.EngineServers {
 		l.Engines = append(l.Engines, at(portEngines+i))
 	}
 	for i := range instanceCount {
 		l.Instances = append(l.Instances, at(portInstances+i))
 	}
 	for i := range size.Routers {
-		first := portRouters + i*portsPerRouter
+		first := portEngines + size.EngineServers + i*portsPerRouter
 		l.Routers = append(l.Routers, Node{Name: routerName(i), Callers: at(first), Peers: at(first + 1), Admin: at(first + 2)})
 	}
 	return l
@@ -99,7 +96,7 @@
 		Name: l.Directory.Name, Kind: hostlist.KindDirectory, Address: l.Directory.Callers, PeerAddress: l.Directory.Peers,
 	})
 	for i := range l.Size.Engines {
-		add(i, hostlist.Host{Name: engineName(i), Kind: hostlist.KindEngine, Address: l.Engines[i%engineServers]})
+		add(i, hostlist.Host{Name: engineName(i), Kind: hostlist.KindEngine, Address: l.Engines[i%len(l.Engines)]})
 	}
 	for i, address := range l.Instances {
 		add(i, hostlist.Host{Name: instanceName(i), Kind: hostlist.KindService, Address: address})
--- a/internal/capacity/size.go
+++ b/internal/capacity/size.go
@@ -25,6 +25,8 @@
 	Engines    int `json:"engines"`
 	Workspaces int `json:"workspaces"`
 	Models     int `json:"models"`
+	// EngineServers is the number of stand-ins that serve the listed engines.
+	EngineServers int `json:"engine_servers"`
 }
 
 func routerName(i int) string    { return fmt.Sprintf("router-%03d", i) }
--- a/scripts/capacity.sh
+++ b/scripts/capacity.sh
@@ -47,12 +47,12 @@
 	start hostlist "$BIN"/vt-standin hostlist --listen "$(port 1)" --hosts "$DIR/hosts.yaml" $HOSTLIST_FLAGS
 	i=0
 	while [ $i -lt $ENGINE_SERVERS ]; do
-		start "engine-server-$i" "$BIN"/vt-standin engine --listen "$(port $((5 + i)))" --token-ms 5 --slots 4096
+		start "engine-server-$i" "$BIN"/vt-standin engine --listen "$(port $((8 + i)))" --token-ms 5 --slots 4096
 		i=$((i + 1))
 	done
 	i=0
 	while [ $i -lt $INSTANCES ]; do
-		start "booking-$i" "$BIN"/vt-standin service --listen "$(port $((5 + ENGINE_SERVERS + i)))" --name "booking-$i"
+		start "booking-$i" "$BIN"/vt-standin service --listen "$(port $((6 + i)))" --name "booking-$i"
 		i=$((i + 1))
 	done
 	sleep 1
@@ -63,7 +63,7 @@
 	DIR=$OUT/$1
 	rm -rf "$DIR"
 	echo "case $1: $2 routers, $3 listed engines, $4 workspaces"
-	"$BIN"/vt-capacity prepare --dir "$DIR" --routers "$2" --engines "$3" --workspaces "$4" --seed "$SEED" --first-port "$FIRST_PORT" || return 1
+	"$BIN"/vt-capacity prepare --dir "$DIR" --routers "$2" --engines "$3" --workspaces "$4" --engine-servers "$ENGINE_SERVERS" --seed "$SEED" --first-port "$FIRST_PORT" || return 1
 	start_platform
 	if "$BIN"/vt-capacity commit --dir "$DIR"; then
 		start directory-1 "$BIN"/vt-directory --config "$DIR/directory-1.yaml"
@@ -102,7 +102,10 @@
 		done
 		;;
 	load)
+		# An engine for each listed one: owners read the engines' own reports.
+		ENGINE_SERVERS=48
 		run_case load 8 48 100 routers start,chats,actions,takeover,lookups,open
+		ENGINE_SERVERS=4
 		;;
 	functions)
 		"$BIN"/vt-capacity functions --seed "$SEED" --out "$OBSERVATIONS"
