Relay: returning chats wait for the engine that holds their prompt, up to a bound

The latest start of a request leaves time for the whole answer, and this was also taken off the wait that a request names for its start: nobody waited.

--- a/internal/owner/gate.go
+++ b/internal/owner/gate.go
@@ -73,7 +73,6 @@
 	defer g.mu.Unlock()
 	g.nextID++
 	request.ID = g.nextID
-	request.Deadline = startDeadline(now, request.Deadline, g.scheduler.ExpectedRun())
 	decision := g.scheduler.Offer(now, request)
 	g.deliver(decision.Effects)
 	if decision.Verdict != admission.Queued {
@@ -84,14 +83,23 @@
 	return request.ID, decision, waiter
 }
 
-// startDeadline leaves time for a whole answer after the start. A request whose
-// limit is shorter than usual answers may still start at once.
-func startDeadline(now, deadline time.Time, run time.Duration) time.Time {
-	latest := deadline.Add(-run)
-	if latest.After(now) {
-		return latest
+// startDeadline returns the latest start of a request. Up to its time limit it
+// leaves time for a whole answer, but a request whose limit is shorter than
+// usual answers may still start at once. A wait that the request names bounds
+// the start itself.
+func startDeadline(now time.Time, request *peerpb.ForwardRequest, run time.Duration) time.Time {
+	limit := time.Duration(request.GetTimeoutMs()) * time.Millisecond
+	wait := max(limit-run, gateTick)
+	if named := time.Duration(request.GetWaitMs()) * time.Millisecond; named > 0 {
+		wait = min(wait, named)
 	}
-	return now.Add(gateTick)
+	return now.Add(wait)
+}
+
+func (g *gate) expectedRun() time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.scheduler.ExpectedRun()
 }
 
 // force takes a place without admission: the engine runs the stream already.
@@ -200,7 +208,7 @@
 func (o *Owner) admit(ctx context.Context, request *peerpb.ForwardRequest, t *target, sink Sink) (*slot, *refusal.Refusal) {
 	g := o.gates.gate(t.declared)
 	start := time.Now()
-	id, decision, waiter := g.offer(start, o.admissionRequest(request, t, start))
+	id, decision, waiter := g.offer(start, o.admissionRequest(request, t, g, start))
 	switch decision.Verdict {
 	case admission.Refused:
 		o.Metrics.Refused.Inc(1)
@@ -226,19 +234,15 @@
 	return &slot{gate: g, id: id, finished: finished}, nil
 }
 
-func (o *Owner) admissionRequest(request *peerpb.ForwardRequest, t *target, now time.Time) admission.Request {
+func (o *Owner) admissionRequest(request *peerpb.ForwardRequest, t *target, g *gate, now time.Time) admission.Request {
 	weight := 1
 	if workspace := t.snapshot.Workspaces[request.GetWorkspace()]; workspace != nil {
 		weight = workspace.Weight
 	}
-	wait := request.GetTimeoutMs()
-	if request.GetWaitMs() > 0 {
-		wait = min(wait, request.GetWaitMs())
-	}
 	return admission.Request{
 		Workspace: request.GetWorkspace(), Weight: weight,
 		Class:    fleet.Priority(request.GetPriority()),
-		Deadline: now.Add(time.Duration(wait) * time.Millisecond),
+		Deadline: startDeadline(now, request, g.expectedRun()),
 		MayWait:  request.GetMayWait(), PoolFull: request.GetPoolFull(),
 		Flexible: request.GetFlexible(), PoolMean: float64(request.GetPoolMean()) * float64(max(t.declared.Weight, 1)),
 	}
--- a/internal/owner/use.go
+++ b/internal/owner/use.go
@@ -66,6 +66,9 @@
 		return false
 	}
 	g.use = inUse
+	// Requests from before went on elsewhere: what the upstream still runs of
+	// them is foreign.
+	g.history = loadHistory{}
 	g.scheduler.Resume()
 	return true
 }
