--- a/internal/owner/gate.go
+++ b/internal/owner/gate.go
@@ -34,9 +34,9 @@
 	resumed map[*slot]struct{}
 	// foreign estimates what a former owner still runs on the upstream.
 	foreign int
-	// overlapping is set while that estimate is kept.
-	overlapping bool
-	history     loadHistory
+	// overlapUntil is how long that estimate is kept.
+	overlapUntil time.Time
+	history      loadHistory
 	// waits ends the waits for first tokens when the upstream hangs.
 	waits    context.Context
 	endWaits context.CancelCauseFunc
--- a/internal/owner/overlap.go
+++ b/internal/owner/overlap.go
@@ -70,12 +70,9 @@
 	if !g.beginOverlap() {
 		return
 	}
-	defer g.endOverlap()
-	ctx, cancel := context.WithTimeout(ctx, overlapTime)
-	defer cancel()
 	ticker := time.NewTicker(reportInterval)
 	defer ticker.Stop()
-	for {
+	for !g.endOverlap(time.Now()) {
 		o.updateForeign(ctx, g)
 		select {
 		case <-ctx.Done():
@@ -93,27 +90,33 @@
 	g.takeReport(time.Now(), report.Running+report.Waiting, time.UnixMilli(report.MeasuredAtMS))
 }
 
-// beginOverlap returns false when the overlap is watched already. A gate
-// without requests assumes that a former owner has the mean of the pool, until
-// the upstream reports its load.
+// beginOverlap begins or extends an overlap; it returns false when one is
+// watched already.
 func (g *gate) beginOverlap() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.overlapping {
-		return false
-	}
-	g.overlapping = true
+	now := time.Now()
+	watched := now.Before(g.overlapUntil)
+	g.overlapUntil = now.Add(overlapTime)
 	if g.scheduler.InFlight()+g.forced == 0 {
-		g.setForeign(time.Now(), int(math.Ceil(g.mean)))
+		g.assumeMean(now)
 	}
-	return true
+	return !watched
 }
 
-func (g *gate) endOverlap() {
+// assumeMean takes the mean of the pool for the requests of a former owner,
+// until the upstream reports its load. The caller holds the lock.
+func (g *gate) assumeMean(now time.Time) { g.setForeign(now, int(math.Ceil(g.mean))) }
+
+// endOverlap clears the estimate and returns true once the overlap is over.
+func (g *gate) endOverlap(now time.Time) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.overlapping = false
-	g.setForeign(time.Now(), 0)
+	if now.Before(g.overlapUntil) {
+		return false
+	}
+	g.setForeign(now, 0)
+	return true
 }
 
 // takeReport updates the estimate of the foreign load. Streams that were
--- a/internal/owner/use.go
+++ b/internal/owner/use.go
@@ -69,6 +69,7 @@
 	// Requests from before went on elsewhere: what the upstream still runs of
 	// them is foreign.
 	g.history = loadHistory{}
+	g.assumeMean(time.Now())
 	g.scheduler.Resume()
 	return true
 }
