--- a/internal/daemon/fleet_test.go
+++ b/internal/daemon/fleet_test.go
@@ -356,12 +356,32 @@
 	events int
 }
 
-// readEvents reads up to limit tokens of an answer; zero means all.
+// bufferedBody keeps what was read ahead for the next reader of a response.
+type bufferedBody struct {
+	*bufio.Reader
+	io.Closer
+}
+
+func bufferBody(response *http.Response) *bufferedBody {
+	body, ok := response.Body.(*bufferedBody)
+	if !ok {
+		body = &bufferedBody{Reader: bufio.NewReader(response.Body), Closer: response.Body}
+		response.Body = body
+	}
+	return body
+}
+
+// readEvents reads up to limit tokens of an answer; zero means all. A later
+// call goes on where the former one stopped.
 func readEvents(response *http.Response, limit int) received {
 	var got received
-	scanner := bufio.NewScanner(response.Body)
-	for scanner.Scan() {
-		name, value, _ := strings.Cut(scanner.Text(), ": ")
+	body := bufferBody(response)
+	for {
+		line, err := body.ReadString('\n')
+		if err != nil {
+			return got
+		}
+		name, value, _ := strings.Cut(strings.TrimSuffix(line, "\n"), ": ")
 		switch name {
 		case "id":
 			got.lastID = value
@@ -376,7 +396,6 @@
 			}
 		}
 	}
-	return got
 }
 
 func (r *received) addChunk(data string) {
--- a/internal/engineapi/engineapi.go
+++ b/internal/engineapi/engineapi.go
@@ -18,8 +18,10 @@
 // Headers of an engine's answers and requests.
 const (
 	HeaderRequestID = "X-Request-Id"
-	HeaderStreamID  = "X-Stream-Id"
-	HeaderPriority  = "X-Priority"
+	// HeaderStreamID names the stream of an answer. A request may choose the
+	// name, so that its stream can be cancelled before the answer's head came.
+	HeaderStreamID = "X-Stream-Id"
+	HeaderPriority = "X-Priority"
 )
 
 // QueryAfter is the query parameter of PathStreams and PathCacheEvents that
--- a/internal/engineclient/client.go
+++ b/internal/engineclient/client.go
@@ -63,10 +63,20 @@
 	return &Client{http: &http.Client{Transport: transport}, stall: stall, firstToken: firstToken}
 }
 
+// Names identify one chat request at an engine.
+type Names struct {
+	// Request is repeated by the engine in each token.
+	Request string
+	// Stream is the name under which the answer can be resumed and cancelled.
+	Stream string
+}
+
 // Start sends a chat request and returns its answer stream.
-func (c *Client) Start(ctx context.Context, address, requestID, priority string, request *engineapi.ChatRequest) (*Stream, error) {
+func (c *Client) Start(ctx context.Context, address string, names Names, priority string, request *engineapi.ChatRequest) (*Stream, error) {
+	requestID := names.Request
 	base := sling.New().Base("http://"+address).
 		Set(engineapi.HeaderRequestID, requestID).
+		Set(engineapi.HeaderStreamID, names.Stream).
 		Set(engineapi.HeaderPriority, priority)
 	httpRequest, err := base.Post(engineapi.PathChat).BodyJSON(request).Request()
 	if err != nil {
@@ -90,8 +100,9 @@
 	return c.open(ctx, httpRequest, requestID, after, c.stall)
 }
 
-// Cancel ends a stream that nobody reads any longer. An error means that the
-// engine didn't answer; it may run the stream for a while yet.
+// Cancel ends a stream that nobody reads any longer. ErrStreamGone means that
+// the engine doesn't have it, or hasn't read its request yet; another error that
+// the engine didn't answer.
 func (c *Client) Cancel(ctx context.Context, address, streamID string) error {
 	ctx, cancel := context.WithTimeout(ctx, cancelTimeout)
 	defer cancel()
@@ -103,7 +114,11 @@
 	if err != nil {
 		return errors.Wrap(ErrNotStarted, err.Error())
 	}
-	return response.Body.Close()
+	_ = response.Body.Close()
+	if response.StatusCode == http.StatusNotFound {
+		return ErrStreamGone
+	}
+	return nil
 }
 
 func (c *Client) open(ctx context.Context, request *http.Request, requestID string, first uint32,
--- a/internal/owner/abandoned.go
+++ b/internal/owner/abandoned.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/verbenatrail/verbenatrail/internal/engineclient"
 )
 
@@ -15,6 +17,9 @@
 	// abandonedTime is how long cancelling is tried; engines drop streams that
 	// nobody reads by themselves.
 	abandonedTime = 2 * time.Minute
+	// unknownTime is how long cancelling is tried after the engine answered that
+	// it has no such stream: its request may still be in the engine's backlog.
+	unknownTime = 5 * time.Second
 	// maxAbandoned bounds the streams that wait to be cancelled.
 	maxAbandoned = 4096
 )
@@ -24,6 +29,8 @@
 	address string
 	id      string
 	until   time.Time
+	// unknown is set once the engine answered that it has no such stream.
+	unknown bool
 }
 
 // abandonedStreams cancels streams once their engine answers again.
@@ -65,12 +72,29 @@
 		if now.After(stream.until) {
 			continue
 		}
-		if !hanging[stream.address] && engines.Cancel(ctx, stream.address, stream.id) == nil {
+		if hanging[stream.address] {
+			a.keep(stream)
 			continue
 		}
-		hanging[stream.address] = true
-		a.keep(stream)
+		err := engines.Cancel(ctx, stream.address, stream.id)
+		switch {
+		case err == nil:
+		case errors.Is(err, engineclient.ErrStreamGone):
+			a.keep(stream.untilKnown(now))
+		default:
+			hanging[stream.address] = true
+			a.keep(stream)
+		}
+	}
+}
+
+// untilKnown shortens the time in which cancelling is tried.
+func (s abandonedStream) untilKnown(now time.Time) abandonedStream {
+	if latest := now.Add(unknownTime); !s.unknown && latest.Before(s.until) {
+		s.until = latest
 	}
+	s.unknown = true
+	return s
 }
 
 func (a *abandonedStreams) take() []abandonedStream {
--- a/internal/owner/chat.go
+++ b/internal/owner/chat.go
@@ -6,6 +6,7 @@
 	"io"
 	"time"
 
+	"github.com/google/uuid"
 	"github.com/pkg/errors"
 	"go.opentelemetry.io/otel/attribute"
 
@@ -23,9 +24,11 @@
 
 // chatRun is one answer stream at the engine that writes it.
 type chatRun struct {
-	owner       *Owner
-	target      *target
-	requestID   string
+	owner     *Owner
+	target    *target
+	requestID string
+	// streamID is the name that the engine was asked to use.
+	streamID    string
 	fingerprint uint64
 	base        uint32
 	// received counts the tokens of this stream that were passed on.
@@ -53,7 +56,7 @@
 		return refused
 	}
 	run := &chatRun{
-		owner: o, target: t, requestID: request.GetRequestId(),
+		owner: o, target: t, requestID: request.GetRequestId(), streamID: uuid.NewString(),
 		fingerprint: request.GetFingerprint(), base: call.GetGeneratedTokens(), sink: sink,
 	}
 	priority := fleet.Priority(request.GetPriority()).String()
@@ -62,7 +65,7 @@
 	ctx, started := slot.gate.firstTokenContext(ctx)
 	defer started()
 	run.onToken = started
-	stream, err := o.Engines.Start(ctx, t.address, run.requestID, priority, body)
+	stream, err := o.Engines.Start(ctx, t.address, engineclient.Names{Request: run.requestID, Stream: run.streamID}, priority, body)
 	if err != nil {
 		failure := run.startFailure(err)
 		slot.release(EndCut)
@@ -217,6 +220,7 @@
 		r.owner.crashed(name)
 		return r.crashRefusal()
 	default:
+		r.owner.abandoned.add(r.target.address, r.streamID)
 		r.owner.Report(name, membership.ConnSilent)
 		return refusal.NewUnknown(refusal.UpstreamFailed, "engine "+name+" doesn't answer: try another").WithRetryAfter(retryAfterFailure)
 	}
--- a/internal/standin/engine/chat.go
+++ b/internal/standin/engine/chat.go
@@ -114,12 +114,21 @@
 		return nil, errUnknownModel
 	}
 	s.state.Chats++
-	st := newStream(uuid.NewString(), requestID, req, priority)
+	st := newStream(s.streamIDLocked(r), requestID, req, priority)
 	s.openReaderLocked(rd, st, 0)
 	s.submitLocked(st)
 	return rd, nil
 }
 
+// streamIDLocked returns the name that the request chose, unless it is taken.
+func (s *Server) streamIDLocked(r *http.Request) string {
+	chosen := r.Header.Get(engineapi.HeaderStreamID)
+	if _, taken := s.streams[chosen]; chosen == "" || taken {
+		return uuid.NewString()
+	}
+	return chosen
+}
+
 // serveResume sends the rest of a stream.
 func (s *Server) serveResume(w http.ResponseWriter, r *http.Request) {
 	after, err := queryAfter(r, -1)
