Owner: only a stalled engine counts as silent; new connections are bounded by progress

Streams with swapped tokens used up their three new connections although each brought tokens, and their engines were then reported as silent: with the queues of silent engines now refused, answers ended early in one of seven runs of the test.

--- a/internal/owner/chat.go
+++ b/internal/owner/chat.go
@@ -19,8 +19,8 @@
 	"github.com/verbenatrail/verbenatrail/internal/telemetry"
 )
 
-// maxResumes bounds the new connections that one answer may need at its engine.
-const maxResumes = 3
+// maxResumes bounds the new connections to an engine that bring no token.
+const maxResumes = 5
 
 // chatRun is one answer stream at the engine that writes it.
 type chatRun struct {
@@ -182,6 +182,7 @@
 			return err
 		}
 		r.received = token.Index + 1
+		r.resumes = 0
 		r.onToken()
 		if err := r.sendToken(token); err != nil {
 			return err
@@ -236,7 +237,9 @@
 	if errors.Is(err, engineclient.ErrStreamGone) {
 		return refusal.NewUnknown(refusal.StreamLost, "engine "+name+" no longer holds the stream: start the answer again")
 	}
-	r.owner.Report(name, membership.ConnSilent)
+	if errors.Is(err, engineclient.ErrStalled) {
+		r.owner.Report(name, membership.ConnSilent)
+	}
 	return refusal.NewUnknown(refusal.UpstreamFailed, "engine "+name+" stopped in the middle of an answer: go on at another").
 		WithRetryAfter(retryAfterFailure)
 }
