--- a/internal/owner/gate.go
+++ b/internal/owner/gate.go
@@ -67,14 +67,18 @@
 	return g
 }
 
-// offer asks for a place. The channel delivers the end of the wait when the
+// offer asks for a place. The request's deadline is that of its whole answer;
+// patience, when it isn't zero, bounds the wait for the start. The channel delivers the end of the wait when the
 // request was queued.
-func (g *gate) offer(now time.Time, request admission.Request) (uint64, admission.Decision, <-chan admission.Effect) {
+func (g *gate) offer(now time.Time, request admission.Request, patience time.Duration) (uint64, admission.Decision, <-chan admission.Effect) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.nextID++
 	request.ID = g.nextID
 	request.Deadline = startDeadline(now, request.Deadline, g.scheduler.ExpectedRun())
+	if patience > 0 && now.Add(patience).Before(request.Deadline) {
+		request.Deadline = now.Add(patience)
+	}
 	decision := g.scheduler.Offer(now, request)
 	g.deliver(decision.Effects)
 	if decision.Verdict != admission.Queued {
@@ -216,7 +220,7 @@
 func (o *Owner) admit(ctx context.Context, request *peerpb.ForwardRequest, t *target, sink Sink) (*slot, *refusal.Refusal) {
 	g := o.gates.gate(t.declared)
 	start := time.Now()
-	id, decision, waiter := g.offer(start, o.admissionRequest(request, t, start))
+	id, decision, waiter := g.offer(start, o.admissionRequest(request, t, start), milliseconds(request.GetWaitMs()))
 	switch decision.Verdict {
 	case admission.Refused:
 		o.Metrics.Refused.Inc(1)
@@ -247,19 +251,17 @@
 	if workspace := t.snapshot.Workspaces[request.GetWorkspace()]; workspace != nil {
 		weight = workspace.Weight
 	}
-	wait := request.GetTimeoutMs()
-	if request.GetWaitMs() > 0 {
-		wait = min(wait, request.GetWaitMs())
-	}
 	return admission.Request{
 		Workspace: request.GetWorkspace(), Weight: weight,
 		Class:    fleet.Priority(request.GetPriority()),
-		Deadline: now.Add(time.Duration(wait) * time.Millisecond),
+		Deadline: now.Add(milliseconds(request.GetTimeoutMs())),
 		MayWait:  request.GetMayWait(), PoolFull: request.GetPoolFull(),
 		Flexible: request.GetFlexible(), PoolMean: float64(request.GetPoolMean()) * float64(max(t.declared.Weight, 1)),
 	}
 }
 
+func milliseconds(n uint32) time.Duration { return time.Duration(n) * time.Millisecond }
+
 // wait blocks until a queued request starts or is refused.
 func (o *Owner) wait(ctx context.Context, g *gate, id uint64, waiter <-chan admission.Effect, t *target, sink Sink) *refusal.Refusal {
 	notice := time.NewTicker(waitingNotice)
--- a/internal/owner/gateset_test.go
+++ b/internal/owner/gateset_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/verbenatrail/verbenatrail/internal/admission"
 	"github.com/verbenatrail/verbenatrail/internal/cluster"
@@ -35,7 +36,7 @@
 }
 
 func start(s *gateSet, u *fleet.Upstream) {
-	s.gate(u).offer(at(0), admission.Request{Workspace: "w", Deadline: at(1000)})
+	s.gate(u).offer(at(0), admission.Request{Workspace: "w", Deadline: at(1000)}, 0)
 }
 
 func TestLoadFollowsTheDeclaredPools(t *testing.T) {
@@ -69,3 +70,21 @@
 		t.Fatal("an undeclared upstream keeps its gate")
 	}
 }
+
+// The patience of a returning chat is shorter than an answer takes; time for
+// the answer must not be taken off it.
+func TestPatienceIsNotCutByTheTimeOfAnAnswer(t *testing.T) {
+	snapshot := snapshotOf(1, 1)
+	s := testGates(&snapshot, liveView())
+	g := s.gate(snapshot.Upstreams["a"])
+	request := admission.Request{Workspace: "w", Deadline: at(60_000), MayWait: true}
+	id, _, _ := g.offer(at(0), request, 0)
+	g.scheduler.Finish(at(5000), id)
+	g.offer(at(5000), request, 0)
+	if _, decision, _ := g.offer(at(5001), request, 6*time.Second); decision.Verdict != admission.Queued {
+		t.Fatalf("got %+v", decision)
+	}
+	if next, _ := g.scheduler.NextDeadline(); !next.Equal(at(11_001)) {
+		t.Fatalf("waits until %v", next)
+	}
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -102,7 +102,8 @@
 	options := placement.AskOptions{Cached: plan.Cached, Probes: maxProbes}
 	if plan.Cached > 0 {
 		tokens := len(call.Chat.GetBody()) / bytesPerToken
-		options.Patience = placement.Patience(tokens, r.Settings.PrefillTokensPerSecond, r.Settings.PatienceFactor)
+		worth := placement.Patience(tokens, r.Settings.PrefillTokensPerSecond, r.Settings.PatienceFactor)
+		options.Patience = max(worth, r.Settings.MinPatience.Std())
 	}
 	return placement.Asks(plan.Ranked, options)
 }
--- a/internal/relay/settings.go
+++ b/internal/relay/settings.go
@@ -1,5 +1,11 @@
 package relay
 
+import (
+	"time"
+
+	"github.com/verbenatrail/verbenatrail/internal/settings"
+)
+
 // Settings are the part of a router's settings about the placement of calls.
 type Settings struct {
 	// RememberedChats bounds the chats whose latest engines are remembered.
@@ -10,12 +16,17 @@
 	// PatienceFactor scales how long a request waits for the engine that holds
 	// its prompt, over the time to compute the prompt again.
 	PatienceFactor float64 `yaml:"patience_factor" validate:"gte=0"`
+	// MinPatience is the least time that a returning chat waits for that engine,
+	// for short prompts too; it bounds what reuse may cost in time to the first
+	// token.
+	MinPatience settings.Duration `yaml:"min_patience" validate:"gte=0"`
 }
 
 const (
 	defaultRememberedChats        = 20_000
 	defaultPrefillTokensPerSecond = 10_000
 	defaultPatienceFactor         = 3
+	defaultMinPatience            = time.Second
 )
 
 // DefaultSettings returns the settings of a router that sets none.
@@ -24,5 +35,6 @@
 		RememberedChats:        defaultRememberedChats,
 		PrefillTokensPerSecond: defaultPrefillTokensPerSecond,
 		PatienceFactor:         defaultPatienceFactor,
+		MinPatience:            settings.Duration(defaultMinPatience),
 	}
 }
