--- a/internal/owner/gate.go
+++ b/internal/owner/gate.go
@@ -40,8 +40,7 @@
 	// waits ends the waits for first tokens when the upstream hangs.
 	waits    context.Context
 	endWaits context.CancelCauseFunc
-	// suspended is set while the upstream takes no new work.
-	suspended bool
+	use      use
 	// mean is the latest expected load.
 	mean float64
 }
@@ -67,18 +66,13 @@
 	return g
 }
 
-// offer asks for a place. The request's deadline is that of its whole answer;
-// patience, when it isn't zero, bounds the wait for the start. The channel delivers the end of the wait when the
+// offer asks for a place. The channel delivers the end of the wait when the
 // request was queued.
-func (g *gate) offer(now time.Time, request admission.Request, patience time.Duration) (uint64, admission.Decision, <-chan admission.Effect) {
+func (g *gate) offer(now time.Time, request admission.Request) (uint64, admission.Decision, <-chan admission.Effect) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.nextID++
 	request.ID = g.nextID
-	request.Deadline = startDeadline(now, request.Deadline, g.scheduler.ExpectedRun())
-	if patience > 0 && now.Add(patience).Before(request.Deadline) {
-		request.Deadline = now.Add(patience)
-	}
 	decision := g.scheduler.Offer(now, request)
 	g.deliver(decision.Effects)
 	if decision.Verdict != admission.Queued {
@@ -89,14 +83,23 @@
 	return request.ID, decision, waiter
 }
 
-// startDeadline leaves time for a whole answer after the start. A request whose
-// limit is shorter than usual answers may still start at once.
-func startDeadline(now, deadline time.Time, run time.Duration) time.Time {
-	latest := deadline.Add(-run)
-	if latest.After(now) {
-		return latest
+// startDeadline returns the latest start of a request. Up to its time limit it
+// leaves time for a whole answer, but a request whose limit is shorter than
+// usual answers may still start at once. A wait that the request names bounds
+// the start itself.
+func startDeadline(now time.Time, request *peerpb.ForwardRequest, run time.Duration) time.Time {
+	limit := time.Duration(request.GetTimeoutMs()) * time.Millisecond
+	wait := max(limit-run, gateTick)
+	if named := time.Duration(request.GetWaitMs()) * time.Millisecond; named > 0 {
+		wait = min(wait, named)
 	}
-	return now.Add(gateTick)
+	return now.Add(wait)
+}
+
+func (g *gate) expectedRun() time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.scheduler.ExpectedRun()
 }
 
 // force takes a place without admission: the engine runs the stream already.
@@ -141,21 +144,6 @@
 	g.deliver(g.scheduler.SetForeignLoad(now, g.foreign+g.forced))
 }
 
-// suspend refuses all waiting requests while the upstream takes no new work.
-func (g *gate) suspend(now time.Time, suspended bool) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if suspended == g.suspended {
-		return
-	}
-	g.suspended = suspended
-	if suspended {
-		g.deliver(g.scheduler.Drain(now))
-		return
-	}
-	g.scheduler.Resume()
-}
-
 // firstTokenContext returns a context that also ends, with
 // engineclient.ErrStalled, when the upstream is found to hang. The returned
 // function ends that after the first token.
@@ -220,7 +208,7 @@
 func (o *Owner) admit(ctx context.Context, request *peerpb.ForwardRequest, t *target, sink Sink) (*slot, *refusal.Refusal) {
 	g := o.gates.gate(t.declared)
 	start := time.Now()
-	id, decision, waiter := g.offer(start, o.admissionRequest(request, t, start), milliseconds(request.GetWaitMs()))
+	id, decision, waiter := g.offer(start, o.admissionRequest(request, t, g, start))
 	switch decision.Verdict {
 	case admission.Refused:
 		o.Metrics.Refused.Inc(1)
@@ -246,7 +234,7 @@
 	return &slot{gate: g, id: id, finished: finished}, nil
 }
 
-func (o *Owner) admissionRequest(request *peerpb.ForwardRequest, t *target, now time.Time) admission.Request {
+func (o *Owner) admissionRequest(request *peerpb.ForwardRequest, t *target, g *gate, now time.Time) admission.Request {
 	weight := 1
 	if workspace := t.snapshot.Workspaces[request.GetWorkspace()]; workspace != nil {
 		weight = workspace.Weight
@@ -254,14 +242,12 @@
 	return admission.Request{
 		Workspace: request.GetWorkspace(), Weight: weight,
 		Class:    fleet.Priority(request.GetPriority()),
-		Deadline: now.Add(milliseconds(request.GetTimeoutMs())),
+		Deadline: startDeadline(now, request, g.expectedRun()),
 		MayWait:  request.GetMayWait(), PoolFull: request.GetPoolFull(),
 		Flexible: request.GetFlexible(), PoolMean: float64(request.GetPoolMean()) * float64(max(t.declared.Weight, 1)),
 	}
 }
 
-func milliseconds(n uint32) time.Duration { return time.Duration(n) * time.Millisecond }
-
 // wait blocks until a queued request starts or is refused.
 func (o *Owner) wait(ctx context.Context, g *gate, id uint64, waiter <-chan admission.Effect, t *target, sink Sink) *refusal.Refusal {
 	notice := time.NewTicker(waitingNotice)
--- a/internal/owner/gateset_test.go
+++ b/internal/owner/gateset_test.go
@@ -7,6 +7,7 @@
 	"github.com/verbenatrail/verbenatrail/internal/admission"
 	"github.com/verbenatrail/verbenatrail/internal/cluster"
 	"github.com/verbenatrail/verbenatrail/internal/fleet"
+	"github.com/verbenatrail/verbenatrail/internal/peerpb"
 )
 
 // snapshotOf declares two engines in one pool of a hash.
@@ -36,7 +37,7 @@
 }
 
 func start(s *gateSet, u *fleet.Upstream) {
-	s.gate(u).offer(at(0), admission.Request{Workspace: "w", Deadline: at(1000)}, 0)
+	s.gate(u).offer(at(0), admission.Request{Workspace: "w", Deadline: at(1000)})
 }
 
 func TestLoadFollowsTheDeclaredPools(t *testing.T) {
@@ -71,20 +72,15 @@
 	}
 }
 
-// The patience of a returning chat is shorter than an answer takes; time for
-// the answer must not be taken off it.
-func TestPatienceIsNotCutByTheTimeOfAnAnswer(t *testing.T) {
-	snapshot := snapshotOf(1, 1)
-	s := testGates(&snapshot, liveView())
-	g := s.gate(snapshot.Upstreams["a"])
-	request := admission.Request{Workspace: "w", Deadline: at(60_000), MayWait: true}
-	id, _, _ := g.offer(at(0), request, 0)
-	g.scheduler.Finish(at(5000), id)
-	g.offer(at(5000), request, 0)
-	if _, decision, _ := g.offer(at(5001), request, 6*time.Second); decision.Verdict != admission.Queued {
-		t.Fatalf("got %+v", decision)
+// The wait that a returning chat names is shorter than an answer takes; time
+// for the answer must not be taken off it.
+func TestNamedWaitIsNotCutByTheTimeOfAnAnswer(t *testing.T) {
+	request := &peerpb.ForwardRequest{TimeoutMs: 60_000, WaitMs: 1000}
+	if got := startDeadline(at(0), request, 6*time.Second); !got.Equal(at(1000)) {
+		t.Fatalf("starts until %v", got)
 	}
-	if next, _ := g.scheduler.NextDeadline(); !next.Equal(at(11_001)) {
-		t.Fatalf("waits until %v", next)
+	request.TimeoutMs = 6500
+	if got := startDeadline(at(0), request, 6*time.Second); !got.Equal(at(500)) {
+		t.Fatalf("starts until %v", got)
 	}
 }
