Owner: a new owner probes an upstream that was suspect lately

In a replay an engine froze at 14 s and its owner was killed at 17 s. The new owner had no gate for the engine, took it for live when the hold-down had lapsed, and sent it 19 requests that all ran at its thaw beside the 13 it held: 32 at a mean of 18. The view now marks upstreams that were suspect in the last 30 s, and gates that are new here probe these first.

--- a/internal/cluster/view.go
+++ b/internal/cluster/view.go
@@ -40,6 +40,8 @@
 	Region        string
 	FailureDomain string
 	State         UpstreamState
+	// Unproven upstreams are back from a suspicion: ask them before use.
+	Unproven bool
 }
 
 // PeerRevision is the highest configuration revision heard from a daemon.
@@ -178,7 +180,7 @@
 		out[u.Host.Name] = UpstreamView{
 			Name: u.Host.Name, Kind: u.Host.Kind, Address: u.Host.Address,
 			Region: u.Host.Region, FailureDomain: u.Host.FailureDomain,
-			State: upstreamState(u.Condition),
+			State: upstreamState(u.Condition), Unproven: u.Unproven,
 		}
 	}
 	return out
--- a/internal/membership/holddown.go
+++ b/internal/membership/holddown.go
@@ -46,3 +46,11 @@
 }
 
 func (h *holdDown) active(now time.Time) bool { return now.Before(h.until) }
+
+// unprovenTime is how long after a hold-down a host counts as unproven.
+const unprovenTime = 30 * time.Second
+
+// recent reports whether the host was held down a short time ago.
+func (h *holdDown) recent(now time.Time) bool {
+	return h.failures > 0 && now.Before(h.until.Add(unprovenTime))
+}
--- a/internal/membership/members.go
+++ b/internal/membership/members.go
@@ -52,6 +52,9 @@
 type UpstreamStatus struct {
 	Host      hostlist.Host
 	Condition Condition
+	// Unproven is set for a while after an upstream was suspect: it may still
+	// hang, and a daemon that hasn't used it since should ask it first.
+	Unproven bool
 }
 
 // Incarnation returns this daemon's current incarnation.
@@ -78,7 +81,7 @@
 	var out []UpstreamStatus
 	for _, u := range m.upstreams {
 		if u.listed {
-			out = append(out, UpstreamStatus{Host: u.host, Condition: u.shown(now)})
+			out = append(out, UpstreamStatus{Host: u.host, Condition: u.shown(now), Unproven: u.hold.recent(now)})
 		}
 	}
 	slices.SortFunc(out, func(a, b UpstreamStatus) int { return cmp.Compare(a.Host.Name, b.Host.Name) })
--- a/internal/owner/gateset.go
+++ b/internal/owner/gateset.go
@@ -37,10 +37,19 @@
 		g.scheduler.SetMean(time.Now(), s.mean(upstream))
 		s.gates[upstream.Name] = g
 		s.overlaps = append(s.overlaps, g)
+		s.suspendUnproven(time.Now(), g)
 	}
 	return g
 }
 
+// suspendUnproven keeps a gate that is new here from sending requests to an
+// upstream that may still hang; it has to answer a probe first.
+func (s *gateSet) suspendUnproven(now time.Time, g *gate) {
+	if s.options.View().Upstreams[g.name].Unproven {
+		g.suspend(now)
+	}
+}
+
 // updateUse suspends a gate while its upstream is out of use. One that comes
 // back has to answer a probe first.
 func (s *gateSet) updateUse(now time.Time, g *gate) {
@@ -87,6 +96,7 @@
 		owned := name == s.options.Self
 		if owned && !g.owned {
 			s.overlaps = append(s.overlaps, g)
+			s.suspendUnproven(time.Now(), g)
 		}
 		g.owned = owned
 	}
--- a/internal/owner/gateset_test.go
+++ b/internal/owner/gateset_test.go
@@ -84,3 +84,23 @@
 		t.Fatalf("starts until %v", got)
 	}
 }
+
+// A new owner knows nothing of an engine that hung at the one before it.
+func TestNewGateOfAnUnprovenUpstreamTakesNothingBeforeAProbe(t *testing.T) {
+	snapshot, view := snapshotOf(1, 0), liveView()
+	view.Upstreams["a"] = cluster.UpstreamView{State: cluster.Live, Unproven: true}
+	s := testGates(&snapshot, view)
+	g := s.gate(snapshot.Upstreams["a"])
+	start(s, snapshot.Upstreams["a"])
+	if g.inFlight() != 0 {
+		t.Fatalf("%d in flight before the probe", g.inFlight())
+	}
+	s.updateUse(at(0), g)
+	if got := s.takeReturning(); len(got) != 1 || !g.resume() {
+		t.Fatalf("%d probes", len(got))
+	}
+	start(s, snapshot.Upstreams["a"])
+	if g.inFlight() != 1 {
+		t.Fatalf("%d in flight after the probe", g.inFlight())
+	}
+}
