--- a/internal/replay/judge_test.go
+++ b/internal/replay/judge_test.go
@@ -131,7 +131,7 @@
 	if err := Write(dir, r, NewReport(r, Judge(r))); err != nil {
 		t.Fatal(err)
 	}
-	for _, name := range []string{"report.json", "report.md", "turns.jsonl", "calls.jsonl", plotLoad, plotReuse, plotControl} {
+	for _, name := range []string{"report.json", "report.md", "turns.jsonl", "calls.jsonl", "samples.jsonl", plotLoad, plotReuse, plotControl} {
 		data, err := os.ReadFile(filepath.Join(dir, name))
 		if err != nil || len(bytes.TrimSpace(data)) == 0 {
 			t.Errorf("%s: %v", name, err)
--- a/internal/replay/report.go
+++ b/internal/replay/report.go
@@ -120,8 +120,8 @@
 	return Latency{Kind: kind, Count: h.TotalCount(), P50: at(50), P95: at(95), P99: at(99), Max: at(100)}
 }
 
-// Write writes report.json, report.md, the records of turns and calls, and the
-// plots to a directory.
+// Write writes report.json, report.md, the records of turns, calls and samples,
+// and the plots to a directory.
 func Write(dir string, r *Record, report *Report) error {
 	data, err := json.MarshalIndent(report, "", "  ")
 	if err != nil {
@@ -136,6 +136,9 @@
 	if err := writeLines(filepath.Join(dir, "turns.jsonl"), r.Turns); err != nil {
 		return err
 	}
+	if err := writeLines(filepath.Join(dir, "samples.jsonl"), r.Samples); err != nil {
+		return err
+	}
 	if err := writeLines(filepath.Join(dir, "calls.jsonl"), r.Calls); err != nil {
 		return err
 	}
