--- a/internal/owner/gate.go
+++ b/internal/owner/gate.go
@@ -34,11 +34,13 @@
 	resumed map[*slot]struct{}
 	// foreign estimates what a former owner still runs on the upstream.
 	foreign int
+	// overlapping is set while that estimate is kept.
+	overlapping bool
+	history     loadHistory
 	// waits ends the waits for first tokens when the upstream hangs.
 	waits    context.Context
 	endWaits context.CancelCauseFunc
-	// suspended is set while the upstream takes no new work.
-	suspended bool
+	use      use
 	// mean is the latest expected load.
 	mean float64
 }
@@ -71,7 +73,6 @@
 	defer g.mu.Unlock()
 	g.nextID++
 	request.ID = g.nextID
-	request.Deadline = startDeadline(now, request.Deadline, g.scheduler.ExpectedRun())
 	decision := g.scheduler.Offer(now, request)
 	g.deliver(decision.Effects)
 	if decision.Verdict != admission.Queued {
@@ -82,14 +83,23 @@
 	return request.ID, decision, waiter
 }
 
-// startDeadline leaves time for a whole answer after the start. A request whose
-// limit is shorter than usual answers may still start at once.
-func startDeadline(now, deadline time.Time, run time.Duration) time.Time {
-	latest := deadline.Add(-run)
-	if latest.After(now) {
-		return latest
+// startDeadline returns the latest start of a request. Up to its time limit it
+// leaves time for a whole answer, but a request whose limit is shorter than
+// usual answers may still start at once. A wait that the request names bounds
+// the start itself.
+func startDeadline(now time.Time, request *peerpb.ForwardRequest, run time.Duration) time.Time {
+	limit := time.Duration(request.GetTimeoutMs()) * time.Millisecond
+	wait := max(limit-run, gateTick)
+	if named := time.Duration(request.GetWaitMs()) * time.Millisecond; named > 0 {
+		wait = min(wait, named)
 	}
-	return now.Add(gateTick)
+	return now.Add(wait)
+}
+
+func (g *gate) expectedRun() time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.scheduler.ExpectedRun()
 }
 
 // force takes a place without admission: the engine runs the stream already.
@@ -121,33 +131,19 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.mean = mean
+	g.history.record(loadSample{at: now, inFlight: g.scheduler.InFlight() + g.forced})
 	g.deliver(g.scheduler.SetCapacity(now, capacity))
 	g.deliver(g.scheduler.SetMean(now, mean))
 	g.deliver(g.scheduler.Tick(now))
 }
 
+// setForeign changes the estimate of a former owner's requests. The caller
+// holds the lock.
 func (g *gate) setForeign(now time.Time, load int) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
 	g.foreign = load
 	g.deliver(g.scheduler.SetForeignLoad(now, g.foreign+g.forced))
 }
 
-// suspend refuses all waiting requests while the upstream takes no new work.
-func (g *gate) suspend(now time.Time, suspended bool) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if suspended == g.suspended {
-		return
-	}
-	g.suspended = suspended
-	if suspended {
-		g.deliver(g.scheduler.Drain(now))
-		return
-	}
-	g.scheduler.Resume()
-}
-
 // firstTokenContext returns a context that also ends, with
 // engineclient.ErrStalled, when the upstream is found to hang. The returned
 // function ends that after the first token.
@@ -212,7 +208,7 @@
 func (o *Owner) admit(ctx context.Context, request *peerpb.ForwardRequest, t *target, sink Sink) (*slot, *refusal.Refusal) {
 	g := o.gates.gate(t.declared)
 	start := time.Now()
-	id, decision, waiter := g.offer(start, o.admissionRequest(request, t, start))
+	id, decision, waiter := g.offer(start, o.admissionRequest(request, t, g, start))
 	switch decision.Verdict {
 	case admission.Refused:
 		o.Metrics.Refused.Inc(1)
@@ -238,19 +234,15 @@
 	return &slot{gate: g, id: id, finished: finished}, nil
 }
 
-func (o *Owner) admissionRequest(request *peerpb.ForwardRequest, t *target, now time.Time) admission.Request {
+func (o *Owner) admissionRequest(request *peerpb.ForwardRequest, t *target, g *gate, now time.Time) admission.Request {
 	weight := 1
 	if workspace := t.snapshot.Workspaces[request.GetWorkspace()]; workspace != nil {
 		weight = workspace.Weight
 	}
-	wait := request.GetTimeoutMs()
-	if request.GetWaitMs() > 0 {
-		wait = min(wait, request.GetWaitMs())
-	}
 	return admission.Request{
 		Workspace: request.GetWorkspace(), Weight: weight,
 		Class:    fleet.Priority(request.GetPriority()),
-		Deadline: now.Add(time.Duration(wait) * time.Millisecond),
+		Deadline: startDeadline(now, request, g.expectedRun()),
 		MayWait:  request.GetMayWait(), PoolFull: request.GetPoolFull(),
 		Flexible: request.GetFlexible(), PoolMean: float64(request.GetPoolMean()) * float64(max(t.declared.Weight, 1)),
 	}
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -96,6 +96,9 @@
 			for _, g := range o.gates.takeOverlaps() {
 				go o.watchOverlap(ctx, g)
 			}
+			for _, g := range o.gates.takeReturning() {
+				go o.probe(ctx, g)
+			}
 		}
 	}
 }
@@ -167,6 +170,8 @@
 	Limit int `json:"limit"`
 	// Mean is the expected load that the bound was derived from.
 	Mean float64 `json:"mean"`
+	// Foreign estimates what a former owner still runs there.
+	Foreign int `json:"foreign"`
 }
 
 // Loads returns the load of each upstream that this router has served, in name
--- a/internal/placement/asks.go
+++ b/internal/placement/asks.go
@@ -9,7 +9,10 @@
 	Flexible bool
 	// Wait is how long the request may wait for a place; zero for not at all.
 	Wait time.Duration
-	// LastResort lets the request wait up to its own deadline.
+	// LastResort lets the request wait up to its own deadline. Upstream is empty:
+	// it goes to the upstream that named the lowest load when it refused, with
+	// the mean of the named loads, by which that upstream is below its bound
+	// whatever averages it has.
 	LastResort bool
 	// PoolFull says that all engines of the pool have been asked before.
 	PoolFull bool
@@ -30,8 +33,8 @@
 // rank. Where part of its prompt is cached, a request may use the whole bound,
 // and waits a little at the first choice, as that costs less than computing
 // the prefix again. Elsewhere it first looks for a place below the mean, so as
-// not to take the places of chats that return there. In the end it waits at
-// its first choice. The caller leaves out upstreams that have failed, and
+// not to take the places of chats that return there. When all have refused, it
+// goes to the least loaded. The caller leaves out upstreams that have failed, and
 // those that answered to be at their bound.
 func Asks(ranked []string, o AskOptions) []Ask {
 	if len(ranked) == 0 {
@@ -53,7 +56,7 @@
 		asks = append(asks, Ask{Upstream: upstream})
 	}
 	whole := len(probed) == len(ranked)
-	return append(asks, Ask{Upstream: probed[0], LastResort: true, PoolFull: whole})
+	return append(asks, Ask{LastResort: true, PoolFull: whole})
 }
 
 // Patience returns how long waiting for a cached prefix is worth: the time to
--- a/internal/relay/session.go
+++ b/internal/relay/session.go
@@ -85,35 +85,47 @@
 	return s.lastResort()
 }
 
-// skip leaves out the upstreams that can't take the call. The last resort is
-// left out only when its upstream failed.
+// skip leaves out the upstreams that can't take the call.
 func (s *session) skip(ask placement.Ask) bool {
-	if contains(s.progress.failed, ask.Upstream) || !usable(s.relay.View(), ask.Upstream) {
+	if contains(s.progress.failed, ask.Upstream) || s.stateOf(ask.Upstream) != cluster.Live {
 		return true
 	}
-	return !ask.LastResort && contains(s.full, ask.Upstream)
+	return contains(s.full, ask.Upstream)
 }
 
-// lastResort waits at the least loaded upstream that has not failed, the best
-// in rank of equal ones. With the mean of the pool known, it has room there
-// unless the pool is at its capacity.
+func (s *session) stateOf(upstream string) cluster.UpstreamState {
+	return s.relay.View().Upstreams[upstream].State
+}
+
+// lastResort waits at the least loaded upstream that has not failed. With the
+// mean of the pool known, it has room there unless the pool is at its capacity.
 func (s *session) lastResort() (attempt, *refusal.Refusal) {
-	chosen := ""
-	for _, upstream := range s.plan.Ranked {
-		if s.skip(placement.Ask{Upstream: upstream, LastResort: true}) {
-			continue
-		}
-		if chosen == "" || s.loads[upstream] < s.loads[chosen] {
-			chosen = upstream
-		}
+	chosen, ok := s.leastLoaded(cluster.Live)
+	if !ok {
+		chosen, ok = s.leastLoaded(cluster.Suspect)
 	}
-	if chosen == "" {
+	if !ok {
 		return attempt{}, s.giveUp(refusal.NoLiveUpstream, "every admitted upstream failed: retry later", retryAfterNoUpstream)
 	}
 	s.asks = []placement.Ask{{Upstream: chosen, LastResort: true, PoolFull: len(s.plan.Ranked) <= maxProbes}}
 	return s.withOwner(attempt{ask: s.asks[0]})
 }
 
+// leastLoaded returns the upstream in a state that named the lowest load, the
+// best in rank among equals; false when all in that state have failed.
+func (s *session) leastLoaded(state cluster.UpstreamState) (string, bool) {
+	best, found := "", false
+	for _, upstream := range s.plan.Ranked {
+		if contains(s.progress.failed, upstream) || s.stateOf(upstream) != state {
+			continue
+		}
+		if !found || s.loads[upstream] < s.loads[best] {
+			best, found = upstream, true
+		}
+	}
+	return best, found
+}
+
 func (s *session) withOwner(a attempt) (attempt, *refusal.Refusal) {
 	view := s.relay.View()
 	owner, ok := view.Owner(a.ask.Upstream, s.unreachable)
@@ -154,7 +166,7 @@
 // poolMean returns the mean of the loads that owners named, once all upstreams
 // in rank have been asked and none has failed.
 func (s *session) poolMean(a attempt) float64 {
-	if !a.ask.LastResort || len(s.loads)+len(s.progress.failed) < len(s.plan.Ranked) {
+	if !a.ask.LastResort || len(s.loads) == 0 || len(s.loads)+len(s.progress.failed) < len(s.plan.Ranked) {
 		return 0
 	}
 	sum := 0.0
