--- a/internal/capacity/traffic.go
+++ b/internal/capacity/traffic.go
@@ -206,8 +206,8 @@
 	})
 }
 
-// slowed makes the engines' steps so long that streams stay open.
-const slowed = 200
+// slowed makes streams last, with steps well below the stall timeout.
+const slowed = 60
 
 // OpenRequests measures the memory of requests that stay open.
 func (e *Experiment) OpenRequests(ctx context.Context) error {
