--- a/internal/owner/gate.go
+++ b/internal/owner/gate.go
@@ -41,8 +41,6 @@
 	waits    context.Context
 	endWaits context.CancelCauseFunc
 	use      use
-	// check is done once before the first request.
-	check sync.Once
 	// mean is the latest expected load.
 	mean float64
 }
@@ -209,9 +207,6 @@
 // admit waits for a place at the request's upstream.
 func (o *Owner) admit(ctx context.Context, request *peerpb.ForwardRequest, t *target, sink Sink) (*slot, *refusal.Refusal) {
 	g := o.gates.gate(t.declared)
-	if !o.checkNew(ctx, g) {
-		return nil, g.refusal(t, admission.ReasonDraining, retryAfterBusy)
-	}
 	start := time.Now()
 	id, decision, waiter := g.offer(start, o.admissionRequest(request, t, g, start))
 	switch decision.Verdict {
--- a/internal/owner/use.go
+++ b/internal/owner/use.go
@@ -8,7 +8,6 @@
 	"github.com/pkg/errors"
 
 	"github.com/verbenatrail/verbenatrail/internal/engineapi"
-	"github.com/verbenatrail/verbenatrail/internal/membership"
 )
 
 // use tells whether a gate takes new work.
@@ -75,22 +74,6 @@
 	return true
 }
 
-// checkNew probes the upstream of a new gate before its first request, since a
-// former owner may have lost it. It returns false when it didn't answer; then
-// probing goes on.
-func (o *Owner) checkNew(ctx context.Context, g *gate) bool {
-	g.check.Do(func() {
-		if o.answers(ctx, g.name) == nil || ctx.Err() != nil {
-			return
-		}
-		o.Report(g.name, membership.ConnSilent)
-		g.suspend(time.Now())
-	})
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.use == inUse
-}
-
 // probe asks an upstream that was out of use until it answers. A frozen
 // upstream accepts connections, and would keep a request that is sent instead.
 // What it still runs from before counts as foreign.
