--- a/internal/relay/settings.go
+++ b/internal/relay/settings.go
@@ -24,7 +24,7 @@
 	defaultRememberedChats        = 20_000
 	defaultPrefillTokensPerSecond = 10_000
 	defaultPatienceFactor         = 10
-	defaultMaxPatience            = time.Second
+	defaultMaxPatience            = 1300 * time.Millisecond
 )
 
 // DefaultSettings returns the settings of a router that sets none.
