--- a/internal/daemon/node.go
+++ b/internal/daemon/node.go
@@ -63,7 +63,7 @@
 		return nil, errors.Wrap(err, "platform.key_value")
 	}
 	n := &node{
-		common: common, logger: logger, registry: metrics.NewRegistry(), store: store, pool: peer.NewPool(),
+		common: common, logger: logger, registry: telemetry.NewRegistry(), store: store, pool: peer.NewPool(),
 		loads: func() map[uint32]int { return nil }, strikes: func(*peerpb.Strike) {},
 	}
 	if n.cluster, err = n.newCluster(kind); err != nil {
--- a/internal/daemon/steward.go
+++ b/internal/daemon/steward.go
@@ -89,7 +89,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "platform.key_value")
 	}
-	p := &Steward{settings: s, logger: logger, registry: metrics.NewRegistry()}
+	p := &Steward{settings: s, logger: logger, registry: telemetry.NewRegistry()}
 	p.config = configstore.New(configstore.Options{
 		Store: store, IsWatcher: func() bool { return p.steward.Fence() > 0 }, Registry: p.registry, Logger: logger,
 	})
--- a/internal/telemetry/process.go
+++ b/internal/telemetry/process.go
@@ -24,13 +24,15 @@
 	GaugeGoroutines = "process.running.goroutines"
 )
 
-// RegisterProcess adds the gauges about the process; they are read when the
-// registry is.
-func RegisterProcess(registry metrics.Registry) {
+// NewRegistry returns a registry with the gauges about the process; they are
+// read when the registry is.
+func NewRegistry() metrics.Registry {
+	registry := metrics.NewRegistry()
 	metrics.NewRegisteredFunctionalGauge(GaugeCPU, registry, cpuNanoseconds)
 	metrics.NewRegisteredFunctionalGauge(GaugeResident, registry, residentBytes)
 	metrics.NewRegisteredFunctionalGauge(GaugeHeapLive, registry, heapLiveBytes)
 	metrics.NewRegisteredFunctionalGauge(GaugeGoroutines, registry, func() int64 { return int64(runtime.NumGoroutine()) })
+	return registry
 }
 
 func cpuNanoseconds() int64 {
--- a/internal/telemetry/process_test.go
+++ b/internal/telemetry/process_test.go
@@ -7,8 +7,7 @@
 )
 
 func TestProcessGauges(t *testing.T) {
-	registry := metrics.NewRegistry()
-	RegisterProcess(registry)
+	registry := NewRegistry()
 	for _, name := range []string{GaugeCPU, GaugeResident, GaugeGoroutines} {
 		gauge, ok := registry.Get(name).(metrics.Gauge)
 		if !ok || gauge.Value() <= 0 {
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -81,9 +81,8 @@
 	return file.Close()
 }
 
-// MetricsHandler serves a registry as JSON, with the gauges about the process.
+// MetricsHandler serves a registry as JSON.
 func MetricsHandler(registry metrics.Registry) http.Handler {
-	RegisterProcess(registry)
 	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "application/json")
 		_ = json.NewEncoder(w).Encode(registry.GetAll())
