--- a/internal/owner/gateset_test.go
+++ b/internal/owner/gateset_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/verbenatrail/verbenatrail/internal/admission"
 	"github.com/verbenatrail/verbenatrail/internal/cluster"
 	"github.com/verbenatrail/verbenatrail/internal/fleet"
+	"github.com/verbenatrail/verbenatrail/internal/peerpb"
 )
 
 // snapshotOf declares two engines in one pool of a hash.
@@ -69,3 +71,36 @@
 		t.Fatal("an undeclared upstream keeps its gate")
 	}
 }
+
+// The wait that a returning chat names is shorter than an answer takes; time
+// for the answer must not be taken off it.
+func TestNamedWaitIsNotCutByTheTimeOfAnAnswer(t *testing.T) {
+	request := &peerpb.ForwardRequest{TimeoutMs: 60_000, WaitMs: 1000}
+	if got := startDeadline(at(0), request, 6*time.Second); !got.Equal(at(1000)) {
+		t.Fatalf("starts until %v", got)
+	}
+	request.TimeoutMs = 6500
+	if got := startDeadline(at(0), request, 6*time.Second); !got.Equal(at(500)) {
+		t.Fatalf("starts until %v", got)
+	}
+}
+
+// A new owner knows nothing of an engine that hung at the one before it.
+func TestNewGateOfAnUnprovenUpstreamTakesNothingBeforeAProbe(t *testing.T) {
+	snapshot, view := snapshotOf(1, 0), liveView()
+	view.Upstreams["a"] = cluster.UpstreamView{State: cluster.Live, Unproven: true}
+	s := testGates(&snapshot, view)
+	g := s.gate(snapshot.Upstreams["a"])
+	start(s, snapshot.Upstreams["a"])
+	if g.inFlight() != 0 {
+		t.Fatalf("%d in flight before the probe", g.inFlight())
+	}
+	s.updateUse(at(0), g)
+	if got := s.takeReturning(); len(got) != 1 || !g.resume() {
+		t.Fatalf("%d probes", len(got))
+	}
+	start(s, snapshot.Upstreams["a"])
+	if g.inFlight() != 1 {
+		t.Fatalf("%d in flight after the probe", g.inFlight())
+	}
+}
