--- a/internal/ledger/requests.go
+++ b/internal/ledger/requests.go
@@ -219,7 +219,7 @@
 		return r
 	}
 	unknown := r.AsUnknown()
-	unknown.Message = "the claims can't be read, an earlier request with this key may have run: " + r.Message
+	unknown.Message = "this request was not run, but an earlier one with its key may have been: the claims can't be read now; " + r.Message
 	return unknown
 }
 
