Owner: engines get all fields of a caller's request; tests of the engine client

The request was read into the typed form and written again, so that fields that routers don't know, like temperature, never reached the engine. The engine client's checks of each token have tests of their own.

--- a/internal/engineclient/client.go
+++ b/internal/engineclient/client.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net"
 	"net/http"
 	"strconv"
@@ -71,14 +72,14 @@
 	Stream string
 }
 
-// Start sends a chat request and returns its answer stream.
-func (c *Client) Start(ctx context.Context, address string, names Names, priority string, request *engineapi.ChatRequest) (*Stream, error) {
+// Start sends a chat request, as JSON, and returns its answer stream.
+func (c *Client) Start(ctx context.Context, address string, names Names, priority string, body json.RawMessage) (*Stream, error) {
 	requestID := names.Request
 	base := sling.New().Base("http://"+address).
 		Set(engineapi.HeaderRequestID, requestID).
 		Set(engineapi.HeaderStreamID, names.Stream).
 		Set(engineapi.HeaderPriority, priority)
-	httpRequest, err := base.Post(engineapi.PathChat).BodyJSON(request).Request()
+	httpRequest, err := base.Post(engineapi.PathChat).BodyJSON(body).Request()
 	if err != nil {
 		return nil, errors.Wrap(err, "chat request")
 	}
--- /dev/null
+++ b/internal/engineclient/client_test.go
@@ -0,0 +1,110 @@
+package engineclient
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/verbenatrail/verbenatrail/internal/engineapi"
+)
+
+const testRequest = "r1"
+
+// token returns one event of an answer.
+func token(request string, index int) string {
+	return fmt.Sprintf("id: %d\ndata: {\"id\":%q,\"choices\":[{\"delta\":{\"content\":\"t%d \"}}]}\n\n", index, request, index)
+}
+
+const finish = "data: {\"id\":\"r1\",\"choices\":[{\"delta\":{},\"finish_reason\":\"stop\"}],\"usage\":{\"prompt_tokens\":4}}\n\n"
+
+const done = "data: " + engineapi.DoneMarker + "\n\n"
+
+// read returns the text and the error of an answer that an engine sends as it is.
+func read(t *testing.T, handler http.HandlerFunc) (string, Finish, error) {
+	t.Helper()
+	server := httptest.NewServer(handler)
+	defer server.Close()
+	client := New(time.Minute, 50*time.Millisecond)
+	address := strings.TrimPrefix(server.URL, "http://")
+	stream, err := client.Start(context.Background(), address, Names{Request: testRequest, Stream: "s"}, "normal", []byte("{}"))
+	if err != nil {
+		return "", Finish{}, err
+	}
+	defer stream.Close()
+	text := ""
+	for {
+		next, err := stream.Next()
+		if err != nil {
+			return text, stream.Finish(), err
+		}
+		text += next.Text
+	}
+}
+
+func send(events ...string) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, strings.Join(events, ""))
+	}
+}
+
+func TestStream(t *testing.T) {
+	cases := []struct {
+		name    string
+		handler http.HandlerFunc
+		text    string
+		err     error
+	}{
+		{"whole", send(token("r1", 0), token("r1", 1), finish, done), "t0 t1 ", io.EOF},
+		{"repeated token", send(token("r1", 0), token("r1", 0), token("r1", 1), finish, done), "t0 t1 ", io.EOF},
+		{"missing token", send(token("r1", 0), token("r1", 2)), "t0 ", ErrCrossed},
+		{"token of another request", send(token("r1", 0), token("r2", 1)), "t0 ", ErrCrossed},
+		{"end without a finish reason", send(token("r1", 0), done), "t0 ", ErrBroken},
+		{"no end marker", send(token("r1", 0), finish), "t0 ", ErrBroken},
+		{"leaving", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusServiceUnavailable) }, "", ErrLeaving},
+		{"rejected", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusBadRequest) }, "", ErrRejected},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			text, finish, err := read(t, c.handler)
+			if text != c.text || !errors.Is(err, c.err) {
+				t.Errorf("text = %q, error = %v, want %q, %v", text, err, c.text, c.err)
+			}
+			if errors.Is(err, io.EOF) && (finish.Reason != "stop" || finish.Usage.PromptTokens != 4) {
+				t.Errorf("finish = %+v", finish)
+			}
+		})
+	}
+}
+
+func TestSilentStreamStalls(t *testing.T) {
+	release := make(chan struct{})
+	text, _, err := read(t, func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, token("r1", 0))
+		_ = http.NewResponseController(w).Flush()
+		go func() {
+			time.Sleep(200 * time.Millisecond)
+			close(release)
+		}()
+		<-release
+	})
+	if text != "t0 " || !errors.Is(err, ErrStalled) {
+		t.Errorf("text = %q, error = %v, want the first token and ErrStalled", text, err)
+	}
+}
+
+func TestUnreachableEngineIsNotStarted(t *testing.T) {
+	server := httptest.NewServer(http.NotFoundHandler())
+	address := strings.TrimPrefix(server.URL, "http://")
+	server.Close()
+	_, err := New(time.Minute, time.Minute).Start(context.Background(), address, Names{Request: "r", Stream: "s"}, "normal", []byte("{}"))
+	if !errors.Is(err, ErrNotStarted) {
+		t.Errorf("error = %v, want ErrNotStarted", err)
+	}
+}
--- a/internal/owner/chat.go
+++ b/internal/owner/chat.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"io"
 	"time"
 
@@ -10,7 +9,6 @@
 	"github.com/pkg/errors"
 	"go.opentelemetry.io/otel/attribute"
 
-	"github.com/verbenatrail/verbenatrail/internal/engineapi"
 	"github.com/verbenatrail/verbenatrail/internal/engineclient"
 	"github.com/verbenatrail/verbenatrail/internal/fleet"
 	"github.com/verbenatrail/verbenatrail/internal/membership"
@@ -44,13 +42,13 @@
 	if t.leaving {
 		return refusal.New(refusal.Leaving, "engine "+t.declared.Name+" is leaving: try another").WithRetryAfter(retryAfterBusy)
 	}
-	body, refused := chatBody(call)
-	if refused != nil {
-		return refused
-	}
-	if body.MaxTokens == noTokensLeft {
+	body, err := engineBody(call)
+	if errors.Is(err, errNoTokensLeft) {
 		return sendCompleted(sink, t.declared.Name, call)
 	}
+	if err != nil {
+		return refusal.New(refusal.BadRequest, "the chat request is no valid JSON: "+err.Error())
+	}
 	slot, refused := o.admit(ctx, request, t, sink)
 	if refused != nil {
 		return refused
@@ -95,35 +93,6 @@
 	return run.serve(ctx, stream, slot)
 }
 
-// chatBody adds the text that earlier engines generated to the caller's request.
-func chatBody(call *peerpb.ChatCall) (*engineapi.ChatRequest, *refusal.Refusal) {
-	body := &engineapi.ChatRequest{}
-	if err := json.Unmarshal(call.GetBody(), body); err != nil {
-		return nil, refusal.New(refusal.BadRequest, "the chat request is no valid JSON: "+err.Error())
-	}
-	body.Stream = true
-	if call.GetGeneratedTokens() == 0 {
-		return body, nil
-	}
-	body.Messages = append(body.Messages, engineapi.Message{Role: "assistant", Content: call.GetGeneratedText()})
-	body.ContinueFinalMessage = true
-	if body.MaxTokens > 0 {
-		body.MaxTokens = remainingTokens(body.MaxTokens, call)
-	}
-	return body, nil
-}
-
-// noTokensLeft marks an answer that had all its tokens when its engine failed.
-const noTokensLeft = -1
-
-func remainingTokens(maxTokens int, call *peerpb.ChatCall) int {
-	left := maxTokens - int(call.GetGeneratedTokens())
-	if left <= 0 {
-		return noTokensLeft
-	}
-	return left
-}
-
 // sendCompleted ends an answer whose last token came before its engine failed.
 func sendCompleted(sink Sink, upstream string, call *peerpb.ChatCall) error {
 	head := &peerpb.ResponseHead{Upstream: upstream, BaseToken: call.GetGeneratedTokens()}
