Proofs: actions run for 1.5 s while a router is frozen

Calls of 1.5 s instead of 0.3 s keep several in flight at any time; the row's checks and bounds are the same.

--- a/internal/prove/proofs_test.go
+++ b/internal/prove/proofs_test.go
@@ -87,6 +87,8 @@
 
 func atMostOnceProofs() []replayed {
 	slow := body{"delay_ms": 300}
+	// long keeps several actions in flight at each router at any time.
+	long := body{"delay_ms": 1500}
 	return []replayed{
 		{promise: promiseAtMostOnce, fault: "router killed while actions run", short: true, effects: []effect{callersRetried()}, outcomes: atMostOnce(),
 			faults: []trace.Fault{set(0, "booking-1", slow), set(0, "booking-2", slow), fault(2500, "router-1", trace.ActionKill)}},
@@ -95,7 +97,7 @@
 		{promise: promiseAtMostOnce, fault: "writes of the key-value service applied with their replies lost", effects: []effect{counted("key-value", "replies_lost")}, outcomes: atMostOnce(),
 			faults: []trace.Fault{set(500, "key-value", body{"lose_write_replies": 40})}},
 		{promise: promiseAtMostOnce, fault: "router frozen while actions run, and thawed", effects: []effect{unknownOutcomes()}, outcomes: atMostOnce(),
-			faults: []trace.Fault{set(0, "booking-1", slow), set(0, "booking-2", slow), fault(1500, "router-2", trace.ActionFreeze), fault(5500, "router-2", trace.ActionThaw)}},
+			faults: []trace.Fault{set(0, "booking-1", long), set(0, "booking-2", long), fault(1500, "router-2", trace.ActionFreeze), fault(5500, "router-2", trace.ActionThaw)}},
 		{promise: promiseAtMostOnce, fault: "two routers frozen in turn while actions run, and thawed", effects: []effect{slowCalls()}, outcomes: atMostOnce(),
 			faults: []trace.Fault{
 				set(0, "booking-1", slow), set(0, "booking-2", slow), fault(1000, "router-3", trace.ActionFreeze), fault(2500, "router-3", trace.ActionThaw),
