--- a/internal/capacity/changes.go
+++ b/internal/capacity/changes.go
@@ -8,10 +8,10 @@
 	"github.com/pkg/errors"
 
 	"github.com/verbenatrail/verbenatrail/internal/configstore"
-	"github.com/verbenatrail/verbenatrail/internal/daemon"
 	"github.com/verbenatrail/verbenatrail/internal/declare"
 	"github.com/verbenatrail/verbenatrail/internal/standin"
 	"github.com/verbenatrail/verbenatrail/internal/standin/kvserver"
+	"github.com/verbenatrail/verbenatrail/internal/status"
 	"github.com/verbenatrail/verbenatrail/internal/telemetry"
 )
 
@@ -65,9 +65,9 @@
 
 func (e *Experiment) reaches(ctx context.Context, r Node, revision uint64) bool {
 	for ctx.Err() == nil {
-		var status daemon.Status
-		err := e.sampler.get(ctx, r.Admin, "/status", &status)
-		if err == nil && status.ConfigRevision >= max(revision, 1) {
+		var page status.Page
+		err := e.sampler.get(ctx, r.Admin, status.Path, &page)
+		if err == nil && page.ConfigRevision >= max(revision, 1) {
 			return true
 		}
 		pause(ctx, pollInterval)
--- a/internal/daemon/node.go
+++ b/internal/daemon/node.go
@@ -21,6 +21,7 @@
 	"github.com/verbenatrail/verbenatrail/internal/placement"
 	"github.com/verbenatrail/verbenatrail/internal/relay"
 	"github.com/verbenatrail/verbenatrail/internal/rollout"
+	"github.com/verbenatrail/verbenatrail/internal/status"
 	"github.com/verbenatrail/verbenatrail/internal/telemetry"
 )
 
@@ -194,10 +195,10 @@
 }
 
 // adminHandler serves metrics, status and readiness.
-func (n *node) adminHandler(status func() any, ready func() bool) http.Handler {
+func (n *node) adminHandler(page func() any, ready func() bool) http.Handler {
 	mux := http.NewServeMux()
-	mux.Handle("GET /metrics", telemetry.MetricsHandler(n.registry))
-	mux.HandleFunc("GET /status", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, status()) })
+	mux.Handle("GET "+status.MetricsPath, telemetry.MetricsHandler(n.registry))
+	mux.HandleFunc("GET "+status.Path, func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, page()) })
 	mux.HandleFunc("GET /ready", func(w http.ResponseWriter, _ *http.Request) {
 		if !ready() {
 			w.WriteHeader(http.StatusServiceUnavailable)
--- a/internal/daemon/router.go
+++ b/internal/daemon/router.go
@@ -143,10 +143,10 @@
 }
 
 func (r *Router) status() any {
-	status := r.commonStatus()
-	status.Leaving = r.leaving.Load()
-	status.Loads = r.owner.Loads()
-	return status
+	page := r.commonStatus()
+	page.Leaving = r.leaving.Load()
+	page.Loads = r.owner.Loads()
+	return page
 }
 
 func serveCallers(server *http.Server, listener net.Listener) error {
--- a/internal/daemon/status.go
+++ b/internal/daemon/status.go
@@ -6,45 +6,23 @@
 	"sort"
 
 	"github.com/verbenatrail/verbenatrail/internal/cluster"
-	"github.com/verbenatrail/verbenatrail/internal/owner"
+	"github.com/verbenatrail/verbenatrail/internal/status"
 )
 
-// Status is the body of GET /status on the admin address.
-type Status struct {
-	Name          string `json:"name"`
-	Region        string `json:"region"`
-	FailureDomain string `json:"failure_domain"`
-	// ConfigRevision is the revision in force; zero before there is any.
-	ConfigRevision uint64 `json:"config_revision"`
-	Leaving        bool   `json:"leaving"`
-	// Routers are the live routers that this process sees.
-	Routers []string `json:"routers"`
-	// Upstreams are the upstreams that this process sees.
-	Upstreams []UpstreamStatus `json:"upstreams"`
-	// Loads are the upstreams that this process has served as their owner.
-	Loads []owner.Load `json:"loads"`
-}
-
-// UpstreamStatus is the state of one upstream.
-type UpstreamStatus struct {
-	Name  string `json:"name"`
-	State string `json:"state"`
-}
-
-func (n *node) commonStatus() *Status {
+func (n *node) commonStatus() *status.Page {
 	view := n.cluster.View()
-	status := &Status{
+	page := &status.Page{
 		Name: n.common.Name, Region: n.common.Region, FailureDomain: n.common.FailureDomain,
 		ConfigRevision: n.config.Revision(),
 	}
 	for _, router := range view.Routers {
-		status.Routers = append(status.Routers, router.Name)
+		page.Routers = append(page.Routers, router.Name)
 	}
 	for name, upstream := range view.Upstreams {
-		status.Upstreams = append(status.Upstreams, UpstreamStatus{Name: name, State: stateName(upstream.State)})
+		page.Upstreams = append(page.Upstreams, status.Upstream{Name: name, State: stateName(upstream.State)})
 	}
-	sortUpstreams(status.Upstreams)
-	return status
+	sortUpstreams(page.Upstreams)
+	return page
 }
 
 func writeJSON(w http.ResponseWriter, value any) {
@@ -52,7 +30,7 @@
 	_ = json.NewEncoder(w).Encode(value)
 }
 
-func sortUpstreams(upstreams []UpstreamStatus) {
+func sortUpstreams(upstreams []status.Upstream) {
 	sort.Slice(upstreams, func(i, j int) bool { return upstreams[i].Name < upstreams[j].Name })
 }
 
--- a/internal/owner/gateset.go
+++ b/internal/owner/gateset.go
@@ -7,6 +7,7 @@
 
 	"github.com/verbenatrail/verbenatrail/internal/cluster"
 	"github.com/verbenatrail/verbenatrail/internal/fleet"
+	"github.com/verbenatrail/verbenatrail/internal/status"
 )
 
 // gateSet holds the gates of all upstreams that this router has served.
@@ -193,9 +194,9 @@
 	return total
 }
 
-func (s *gateSet) loads(now time.Time) []Load {
+func (s *gateSet) loads(now time.Time) []status.Load {
 	gates := s.all()
-	loads := make([]Load, 0, len(gates))
+	loads := make([]status.Load, 0, len(gates))
 	for _, g := range gates {
 		loads = append(loads, g.status(now))
 	}
@@ -203,10 +204,10 @@
 	return loads
 }
 
-func (g *gate) status(now time.Time) Load {
+func (g *gate) status(now time.Time) status.Load {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return Load{
+	return status.Load{
 		Upstream: g.name, InFlight: g.scheduler.InFlight() + g.forced, Queued: g.scheduler.Queued(),
 		Limit: g.scheduler.Limit(now), Mean: g.mean, Foreign: g.foreign,
 	}
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -17,6 +17,7 @@
 	"github.com/verbenatrail/verbenatrail/internal/peerpb"
 	"github.com/verbenatrail/verbenatrail/internal/refusal"
 	"github.com/verbenatrail/verbenatrail/internal/serviceclient"
+	"github.com/verbenatrail/verbenatrail/internal/status"
 	"github.com/verbenatrail/verbenatrail/internal/telemetry"
 )
 
@@ -161,22 +162,9 @@
 	snapshot *fleet.Snapshot
 }
 
-// Load is the present load of one upstream at its owner.
-type Load struct {
-	Upstream string `json:"upstream"`
-	InFlight int    `json:"in_flight"`
-	Queued   int    `json:"queued"`
-	// Limit is the bound at the moment.
-	Limit int `json:"limit"`
-	// Mean is the expected load that the bound was derived from.
-	Mean float64 `json:"mean"`
-	// Foreign estimates what a former owner still runs there.
-	Foreign int `json:"foreign"`
-}
-
 // Loads returns the load of each upstream that this router has served, in name
 // order.
-func (o *Owner) Loads() []Load { return o.gates.loads(time.Now()) }
+func (o *Owner) Loads() []status.Load { return o.gates.loads(time.Now()) }
 
 // WaitIdle waits until no request is in flight here, or the context ends.
 func (o *Owner) WaitIdle(ctx context.Context) {
--- a/internal/status/status.go
+++ b/internal/status/status.go
@@ -44,6 +44,10 @@
 	Queued   int    `json:"queued"`
 	// Limit is the bound at the moment.
 	Limit int `json:"limit"`
+	// Mean is the expected load that the bound was derived from.
+	Mean float64 `json:"mean"`
+	// Foreign estimates what a former owner still runs there.
+	Foreign int `json:"foreign,omitempty"`
 }
 
 // Metrics are a daemon's counters by name, as its admin address serves them.
