--- a/internal/owner/chat.go
+++ b/internal/owner/chat.go
@@ -82,7 +82,7 @@
 	}
 	slot := o.detached.take(call.GetStreamId())
 	if slot == nil {
-		slot = o.gates.gate(t.declared).force()
+		slot = o.resumedSlot(o.gates.gate(t.declared), request.GetFingerprint())
 	}
 	stream, err := o.Engines.Resume(ctx, t.address, run.requestID, call.GetStreamId(), run.received)
 	if err != nil {
--- a/internal/owner/gate.go
+++ b/internal/owner/gate.go
@@ -7,17 +7,10 @@
 
 	"github.com/verbenatrail/verbenatrail/internal/admission"
 	"github.com/verbenatrail/verbenatrail/internal/engineclient"
-	"github.com/verbenatrail/verbenatrail/internal/fleet"
-	"github.com/verbenatrail/verbenatrail/internal/peerpb"
-	"github.com/verbenatrail/verbenatrail/internal/refusal"
 )
 
-const (
-	// gateTick is the time between two looks at the deadlines of a gate.
-	gateTick = 20 * time.Millisecond
-	// waitingNotice is the time between two notices to a request that waits.
-	waitingNotice = time.Second
-)
+// gateTick is the time between two looks at the deadlines of a gate.
+const gateTick = 20 * time.Millisecond
 
 // gate admits the requests of one upstream.
 type gate struct {
@@ -83,19 +76,6 @@
 	return request.ID, decision, waiter
 }
 
-// startDeadline returns the latest start of a request. Up to its time limit it
-// leaves time for a whole answer, but a request whose limit is shorter than
-// usual answers may still start at once. A wait that the request names bounds
-// the start itself.
-func startDeadline(now time.Time, request *peerpb.ForwardRequest, run time.Duration) time.Time {
-	limit := time.Duration(request.GetTimeoutMs()) * time.Millisecond
-	wait := max(limit-run, gateTick)
-	if named := time.Duration(request.GetWaitMs()) * time.Millisecond; named > 0 {
-		wait = min(wait, named)
-	}
-	return now.Add(wait)
-}
-
 func (g *gate) expectedRun() time.Duration {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -203,98 +183,3 @@
 		s.gate.deliver(s.gate.scheduler.Finish(time.Now(), s.id))
 	})
 }
-
-// admit waits for a place at the request's upstream.
-func (o *Owner) admit(ctx context.Context, request *peerpb.ForwardRequest, t *target, sink Sink) (*slot, *refusal.Refusal) {
-	g := o.gates.gate(t.declared)
-	start := time.Now()
-	id, decision, waiter := g.offer(start, o.admissionRequest(request, t, g, start))
-	switch decision.Verdict {
-	case admission.Refused:
-		o.Metrics.Refused.Inc(1)
-		return nil, g.refusal(t, decision.Reason, decision.RetryAfter)
-	case admission.Queued:
-		o.Metrics.Queued.Inc(1)
-		if refused := o.wait(ctx, g, id, waiter, t, sink); refused != nil {
-			return nil, refused
-		}
-		o.Metrics.QueueWait.UpdateSince(start)
-	}
-	o.Metrics.Admitted.Inc(1)
-	return o.guarded(g, id, request.GetFingerprint())
-}
-
-// guarded registers the admitted request with the guard.
-func (o *Owner) guarded(g *gate, id uint64, fingerprint uint64) (*slot, *refusal.Refusal) {
-	if refused := o.Guard.Start(time.Now(), g.name, fingerprint); refused != nil {
-		g.cancel(time.Now(), id)
-		return nil, refused
-	}
-	finished := func(end End) { o.Guard.Finish(time.Now(), g.name, fingerprint, end) }
-	return &slot{gate: g, id: id, finished: finished}, nil
-}
-
-func (o *Owner) admissionRequest(request *peerpb.ForwardRequest, t *target, g *gate, now time.Time) admission.Request {
-	weight := 1
-	if workspace := t.snapshot.Workspaces[request.GetWorkspace()]; workspace != nil {
-		weight = workspace.Weight
-	}
-	return admission.Request{
-		Workspace: request.GetWorkspace(), Weight: weight,
-		Class:    fleet.Priority(request.GetPriority()),
-		Deadline: startDeadline(now, request, g.expectedRun()),
-		MayWait:  request.GetMayWait(), PoolFull: request.GetPoolFull(),
-		Flexible: request.GetFlexible(), PoolMean: float64(request.GetPoolMean()) * float64(max(t.declared.Weight, 1)),
-	}
-}
-
-// wait blocks until a queued request starts or is refused.
-func (o *Owner) wait(ctx context.Context, g *gate, id uint64, waiter <-chan admission.Effect, t *target, sink Sink) *refusal.Refusal {
-	notice := time.NewTicker(waitingNotice)
-	defer notice.Stop()
-	for {
-		select {
-		case effect := <-waiter:
-			if effect.Kind == admission.Start {
-				return nil
-			}
-			o.Metrics.Refused.Inc(1)
-			return g.refusal(t, effect.Reason, effect.RetryAfter)
-		case <-ctx.Done():
-			g.cancel(time.Now(), id)
-			return refusal.New(refusal.DeadlineExceeded, "the caller stopped waiting: retry with a longer time limit")
-		case <-notice.C:
-			if err := sink(waitingEvent()); err != nil {
-				g.cancel(time.Now(), id)
-				return refusal.New(refusal.DeadlineExceeded, "the caller stopped waiting: retry with a longer time limit")
-			}
-		}
-	}
-}
-
-// refusal names the present load, from which the asking router learns the
-// pool's mean.
-func (g *gate) refusal(t *target, reason admission.Reason, retryAfter time.Duration) *refusal.Refusal {
-	refused := admissionRefusal(t.declared.Name, reason, retryAfter)
-	refused.UpstreamLoad = float64(g.load()) / float64(max(t.declared.Weight, 1))
-	return refused
-}
-
-func admissionRefusal(upstream string, reason admission.Reason, retryAfter time.Duration) *refusal.Refusal {
-	var refused *refusal.Refusal
-	switch reason {
-	case admission.ReasonOverBound:
-		refused = refusal.New(refusal.OwnerBusy, upstream+" is at its bound: try another or retry later")
-	case admission.ReasonAboveMean:
-		refused = refusal.New(refusal.AboveMean, upstream+" is above the mean of its pool: try another")
-	case admission.ReasonQueueFull:
-		refused = refusal.New(refusal.Overloaded, "too many requests wait for "+upstream+": retry after the given time")
-	case admission.ReasonDraining:
-		refused = refusal.New(refusal.Leaving, upstream+" is leaving: try another")
-	case admission.ReasonDeadline:
-		refused = refusal.New(refusal.QueueTimeout, upstream+" can't start the request within its time limit: retry after the given time")
-	default:
-		refused = refusal.New(refusal.InternalError, "admission failed: "+reason.String())
-	}
-	return refused.WithRetryAfter(max(retryAfter, retryAfterBusy))
-}
