Host list: one client for routers and stewards

The routers' poller, which asks for changes and for gzip, is now the client that the package's comment had promised, and the steward uses it. Not measured again; the test of the client covers both encodings and the unchanged list.

--- a/internal/cluster/cluster_test.go
+++ b/internal/cluster/cluster_test.go
@@ -203,17 +203,17 @@
 		p.add(routerHost(i))
 	}
 	poller := newListPoller(Options{HostListURL: p.server.URL, Settings: DefaultSettings()})
-	defer poller.client.CloseIdleConnections()
+	defer poller.http.CloseIdleConnections()
 	first := poller.poll(t.Context())
-	if first.err != nil || len(first.hosts) != 50 || first.bytes > 1500 {
-		t.Fatalf("%d hosts in %d bytes, %v", len(first.hosts), first.bytes, first.err)
+	if first.err != nil || len(first.Hosts) != 50 || first.Bytes > 1500 {
+		t.Fatalf("%d hosts in %d bytes, %v", len(first.Hosts), first.Bytes, first.err)
 	}
-	if again := poller.poll(t.Context()); again.err != nil || again.hosts != nil {
+	if again := poller.poll(t.Context()); again.err != nil || again.Changed {
 		t.Fatalf("got %+v", again)
 	}
 	p.add(routerHost(50))
-	if changed := poller.poll(t.Context()); len(changed.hosts) != 51 {
-		t.Fatalf("%d hosts, %v", len(changed.hosts), changed.err)
+	if changed := poller.poll(t.Context()); len(changed.Hosts) != 51 {
+		t.Fatalf("%d hosts, %v", len(changed.Hosts), changed.err)
 	}
 }
 
--- a/internal/cluster/loop.go
+++ b/internal/cluster/loop.go
@@ -221,17 +221,17 @@
 }
 
 func (c listPolled) apply(l *loop, now time.Time) {
-	l.budget.listed(c.result.bytes)
+	l.budget.listed(c.result.Bytes)
 	l.noteListError(c.result.err)
-	if c.result.hosts == nil {
+	if !c.result.Changed {
 		return
 	}
 	first := !l.listed
 	if first {
 		l.listed, l.topologyDirty = true, true
 	}
-	l.daemons = daemonsOf(c.result.hosts)
-	l.perform(now, l.members.HearList(now, c.result.hosts))
+	l.daemons = daemonsOf(c.result.Hosts)
+	l.perform(now, l.members.HearList(now, c.result.Hosts))
 	if first {
 		// The answer tells the newest configuration revision.
 		l.round(now)
--- a/internal/steward/engines.go
+++ b/internal/steward/engines.go
@@ -59,15 +59,11 @@
 }
 
 // liveEngines returns the addresses of the engines that the platform lists as
-// live, by name.
-func (s *Steward) liveEngines(ctx context.Context) (map[string]string, error) {
-	var list hostlist.List
-	status, err := s.do(ctx, sling.New().Get(s.options.HostList+hostlist.Path), &list)
-	if err != nil {
-		return nil, err
-	}
-	if status != http.StatusOK {
-		return nil, errors.Errorf("host list answered with status %d", status)
+// live, by name; false when the list hasn't changed.
+func (s *Steward) liveEngines(ctx context.Context) (map[string]string, bool, error) {
+	list, err := s.list.Poll(ctx)
+	if err != nil || !list.Changed {
+		return nil, false, err
 	}
 	addresses := make(map[string]string)
 	for _, host := range list.Hosts {
@@ -75,5 +71,5 @@
 			addresses[host.Name] = host.Address
 		}
 	}
-	return addresses, nil
+	return addresses, true, nil
 }
--- a/internal/steward/steward.go
+++ b/internal/steward/steward.go
@@ -15,6 +15,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/verbenatrail/verbenatrail/internal/fleet"
+	"github.com/verbenatrail/verbenatrail/internal/hostlist"
 	"github.com/verbenatrail/verbenatrail/internal/kv"
 	"github.com/verbenatrail/verbenatrail/internal/orders"
 )
@@ -55,6 +56,7 @@
 	resign   chan struct{}
 	calls    sync.WaitGroup
 	machine  *orders.Machine
+	list     *hostlist.Client
 	// addresses are those of live engines.
 	addresses map[string]string
 	fence     atomic.Int64
@@ -95,6 +97,7 @@
 		options: options, counters: newCounters(options.Registry),
 		inbox: make(chan orders.Event, inboxSize), hosts: make(chan map[string]string, 1),
 		resign: make(chan struct{}, 1), machine: orders.New(options.Orders, options.Seed),
+		list: hostlist.NewClient(options.HostList, options.Name, options.Client),
 	}
 }
 
@@ -149,7 +152,7 @@
 // while the platform doesn't answer.
 func (s *Steward) pollHosts(ctx context.Context) {
 	for ctx.Err() == nil {
-		if addresses, err := s.liveEngines(ctx); err == nil {
+		if addresses, changed, err := s.liveEngines(ctx); err == nil && changed {
 			select {
 			case s.hosts <- addresses:
 			case <-ctx.Done():
