--- a/internal/callers/client.go
+++ b/internal/callers/client.go
@@ -5,7 +5,6 @@
 package callers
 
 import (
-	"context"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -125,17 +124,3 @@
 	b.MaxInterval = backoffMax
 	return b
 }
-
-func sleep(ctx context.Context, d time.Duration) error {
-	if d <= 0 {
-		return ctx.Err()
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- a/internal/callers/retry.go
+++ b/internal/callers/retry.go
@@ -8,6 +8,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/verbenatrail/verbenatrail/internal/pause"
 	"github.com/verbenatrail/verbenatrail/internal/refusal"
 )
 
@@ -20,18 +21,15 @@
 		if err == nil || !retryable(err) {
 			return err
 		}
-		pause := pauses.NextBackOff()
-		if wait := retryAfter(err); wait > pause {
-			pause = wait
-		}
-		if sleep(ctx, pause) != nil {
+		delay := max(pauses.NextBackOff(), retryAfter(err))
+		if pause.For(ctx, delay) != nil {
 			return err
 		}
 	}
 }
 
 func tryOnce(ctx context.Context, r *route, attempt func(ctx context.Context, router string) error) error {
-	if err := sleep(ctx, r.client.settings.Delay); err != nil {
+	if err := pause.For(ctx, r.client.settings.Delay); err != nil {
 		return errors.Wrap(ErrNotConnected, err.Error())
 	}
 	router, err := r.current(ctx)
--- a/internal/capacity/changes.go
+++ b/internal/capacity/changes.go
@@ -9,6 +9,7 @@
 
 	"github.com/verbenatrail/verbenatrail/internal/configstore"
 	"github.com/verbenatrail/verbenatrail/internal/declare"
+	"github.com/verbenatrail/verbenatrail/internal/pause"
 	"github.com/verbenatrail/verbenatrail/internal/standin"
 	"github.com/verbenatrail/verbenatrail/internal/standin/kvserver"
 	"github.com/verbenatrail/verbenatrail/internal/status"
@@ -70,7 +71,7 @@
 		if err == nil && page.ConfigRevision >= max(revision, 1) {
 			return true
 		}
-		pause(ctx, pollInterval)
+		_ = pause.For(ctx, pollInterval)
 	}
 	return false
 }
@@ -111,7 +112,7 @@
 		slowest = max(slowest, taken)
 		sum += taken
 		// Changes at random moments meet the rounds of probes at any phase.
-		pause(ctx, time.Duration(e.random.Int64N(int64(changeInterval))))
+		_ = pause.For(ctx, time.Duration(e.random.Int64N(int64(changeInterval))))
 	}
 	e.note("change: until in force everywhere, mean", "s", sum/watchedChanges)
 	e.note("change: until in force everywhere, slowest of six", "s", slowest)
@@ -123,7 +124,7 @@
 		if err := e.change(ctx); err != nil {
 			return err
 		}
-		pause(ctx, changeInterval)
+		_ = pause.For(ctx, changeInterval)
 	}
 	return ctx.Err()
 }
@@ -180,6 +181,6 @@
 		return err
 	}
 	e.note("outage: until a waiting change is in force everywhere", "s", time.Since(ended).Seconds())
-	pause(ctx, catchUp-time.Since(ended))
+	_ = pause.For(ctx, catchUp-time.Since(ended))
 	return ctx.Err()
 }
--- a/internal/capacity/experiment.go
+++ b/internal/capacity/experiment.go
@@ -9,6 +9,7 @@
 
 	"github.com/verbenatrail/verbenatrail/internal/configstore"
 	"github.com/verbenatrail/verbenatrail/internal/kv/etcdjson"
+	"github.com/verbenatrail/verbenatrail/internal/pause"
 	"github.com/verbenatrail/verbenatrail/internal/standin/kvserver"
 	"github.com/verbenatrail/verbenatrail/internal/telemetry"
 )
@@ -131,7 +132,7 @@
 		if complete {
 			return nil
 		}
-		if !pause(ctx, time.Second) {
+		if pause.For(ctx, time.Second) != nil {
 			return errors.New("routers don't see each other: check the logs in the run's directory")
 		}
 	}
@@ -174,7 +175,7 @@
 
 func (e *Experiment) idleSpan(ctx context.Context, length time.Duration) (Span, error) {
 	return e.span(ctx, func(ctx context.Context) error {
-		pause(ctx, length)
+		_ = pause.For(ctx, length)
 		return ctx.Err()
 	})
 }
@@ -239,14 +240,3 @@
 		{"rate limited", after.RateLimited - before.RateLimited},
 	}
 }
-
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/internal/capacity/failure.go
+++ b/internal/capacity/failure.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/verbenatrail/verbenatrail/internal/pause"
 )
 
 // failureTimeout bounds the wait until a killed router is out of use.
@@ -58,7 +60,7 @@
 		if e.sampler.get(ctx, r.Admin, "/metrics", &p.metrics) == nil && int(p.gauge("cluster.routers")) == count {
 			return
 		}
-		pause(ctx, 5*pollInterval)
+		_ = pause.For(ctx, 5*pollInterval)
 	}
 }
 
--- a/internal/capacity/pace.go
+++ b/internal/capacity/pace.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"gonum.org/v1/gonum/stat"
+
+	"github.com/verbenatrail/verbenatrail/internal/pause"
 )
 
 // paced is the outcome of a paced load.
@@ -41,7 +43,7 @@
 	begun := time.Now()
 	for i := range int(perSecond * length.Seconds()) {
 		due := begun.Add(time.Duration(float64(i) / perSecond * float64(time.Second)))
-		if !pause(ctx, time.Until(due)) {
+		if pause.For(ctx, time.Until(due)) != nil {
 			break
 		}
 		group.Go(func() {
--- a/internal/capacity/steward.go
+++ b/internal/capacity/steward.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/verbenatrail/verbenatrail/internal/pause"
 	"github.com/verbenatrail/verbenatrail/internal/telemetry"
 )
 
@@ -14,7 +15,7 @@
 		return err
 	}
 	begun := time.Now()
-	pause(ctx, length)
+	_ = pause.For(ctx, length)
 	after, err := e.stewardPage(ctx)
 	if err != nil {
 		return err
--- a/internal/capacity/traffic.go
+++ b/internal/capacity/traffic.go
@@ -8,6 +8,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/verbenatrail/verbenatrail/internal/pause"
 	"github.com/verbenatrail/verbenatrail/internal/standin"
 	"github.com/verbenatrail/verbenatrail/internal/standin/engine"
 	"github.com/verbenatrail/verbenatrail/internal/telemetry"
@@ -227,9 +228,9 @@
 		for ; opened < count; opened++ {
 			t, address := turn{number: opened, maxTokens: longAnswer}, addresses[opened]
 			go held.hold(holding, c, address, t)
-			pause(ctx, openInterval)
+			_ = pause.For(ctx, openInterval)
 		}
-		pause(ctx, phaseLength)
+		_ = pause.For(ctx, phaseLength)
 		if err := e.noteOpen(ctx, held); err != nil {
 			return err
 		}
--- a/internal/cluster/listpoller.go
+++ b/internal/cluster/listpoller.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/verbenatrail/verbenatrail/internal/hostlist"
+	"github.com/verbenatrail/verbenatrail/internal/pause"
 )
 
 // maxListInterval bounds how far a long list stretches the poll interval.
@@ -46,23 +47,12 @@
 			return nil
 		}
 		deliver(result)
-		if !sleep(ctx, p.pause(result.Bytes)) {
+		if pause.For(ctx, p.pause(result.Bytes)) != nil {
 			return nil
 		}
 	}
 }
 
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 // pause is the time to the next poll after one of that many bytes, with up to
 // a tenth of jitter.
 func (p *listPoller) pause(bytes int) time.Duration {
--- a/internal/configstore/committer.go
+++ b/internal/configstore/committer.go
@@ -11,6 +11,7 @@
 
 	"github.com/verbenatrail/verbenatrail/internal/declare"
 	"github.com/verbenatrail/verbenatrail/internal/kv"
+	"github.com/verbenatrail/verbenatrail/internal/pause"
 )
 
 // Bounds of one transaction and of the pauses between attempts.
@@ -52,20 +53,11 @@
 		options.Nonce = uuid.NewString
 	}
 	if options.Sleep == nil {
-		options.Sleep = sleep
+		options.Sleep = func(ctx context.Context, d time.Duration) { _ = pause.For(ctx, d) }
 	}
 	return &Committer{options: options, reader: NewReader(options.Store)}
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // plan is one commit, ready to be sent as often as needed.
 type plan struct {
 	base    uint64
--- a/internal/configstore/follow.go
+++ b/internal/configstore/follow.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/verbenatrail/verbenatrail/internal/kv"
+	"github.com/verbenatrail/verbenatrail/internal/pause"
 	"github.com/verbenatrail/verbenatrail/internal/rollout"
 )
 
@@ -30,7 +31,7 @@
 			continue
 		}
 		m.counters.watchRestarts.Inc(1)
-		sleep(ctx, pauses.NextBackOff())
+		_ = pause.For(ctx, pauses.NextBackOff())
 	}
 }
 
@@ -43,7 +44,7 @@
 		if left <= 0 {
 			return true
 		}
-		sleep(ctx, min(left, roleCheck))
+		_ = pause.For(ctx, min(left, roleCheck))
 	}
 	return false
 }
--- a/internal/daemon/configuration_test.go
+++ b/internal/daemon/configuration_test.go
@@ -6,7 +6,6 @@
 	"flag"
 	"fmt"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"slices"
 	"testing"
@@ -44,7 +43,7 @@
 	for i := range routers {
 		s := f.routerSettings(fmt.Sprintf("router-%d", i))
 		s.FailureDomain = fmt.Sprintf("domain-%d", i%configDomains)
-		s.Listen = Listen{Callers: fixedPort(t), Peers: fixedPort(t), Admin: fixedPort(t)}
+		s.Listen = Listen{Callers: freePort(t), Peers: freePort(t), Admin: freePort(t)}
 		s.Cluster = cluster.DefaultSettings()
 		all = append(all, s)
 		f.listed = append(f.listed, s.host(hostlist.KindRouter))
@@ -58,31 +57,6 @@
 	return f
 }
 
-// Ports of fixedPort. Ports above are given to outgoing connections.
-const (
-	lowestFixedPort  = 20_000
-	highestFixedPort = 32_000
-)
-
-var nextFixedPort = lowestFixedPort + rand.IntN((highestFixedPort-lowestFixedPort)/2)
-
-// fixedPort returns an address that no outgoing connection of this process takes
-// before a router listens on it.
-func fixedPort(t *testing.T) string {
-	t.Helper()
-	for nextFixedPort < highestFixedPort {
-		nextFixedPort++
-		address := fmt.Sprintf("127.0.0.1:%d", nextFixedPort)
-		listener, err := net.Listen("tcp", address)
-		if err == nil {
-			_ = listener.Close()
-			return address
-		}
-	}
-	t.Fatal("no free port left")
-	return ""
-}
-
 func (f *testFleet) wideDeclarations() *declare.Declarations {
 	d := &declare.Declarations{Workspaces: []declare.Workspace{{Name: "quotes", Weight: 1, Priority: "normal"}}}
 	for name := range f.engines {
--- a/internal/daemon/fleet_test.go
+++ b/internal/daemon/fleet_test.go
@@ -7,12 +7,9 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
-	"os"
 	"strings"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -22,6 +19,7 @@
 	"github.com/verbenatrail/verbenatrail/internal/configstore"
 	"github.com/verbenatrail/verbenatrail/internal/declare"
 	"github.com/verbenatrail/verbenatrail/internal/engineapi"
+	"github.com/verbenatrail/verbenatrail/internal/freeport"
 	"github.com/verbenatrail/verbenatrail/internal/hostlist"
 	"github.com/verbenatrail/verbenatrail/internal/refusal"
 	"github.com/verbenatrail/verbenatrail/internal/router"
@@ -147,42 +145,16 @@
 	return s
 }
 
-const (
-	// firstPort and lastPort lie below the ports that systems give to
-	// connections, so that none is taken between the check and its use.
-	firstPort = 20_000
-	lastPort  = 30_000
-)
-
-var nextPort atomic.Int32
+// ports gives out the addresses of all fleets of these tests.
+var ports = freeport.NewPorts()
 
-// freePort returns a port that is free for TCP and UDP. Tests of other
-// processes start at another place of the range.
 func freePort(t testing.TB) string {
 	t.Helper()
-	start := int32(os.Getpid() * 97 % (lastPort - firstPort))
-	for range lastPort - firstPort {
-		port := firstPort + (start+nextPort.Add(1))%(lastPort-firstPort)
-		address := fmt.Sprintf("127.0.0.1:%d", port)
-		if bindable(address) {
-			return address
-		}
-	}
-	t.Fatal("no free port")
-	return ""
-}
-
-func bindable(address string) bool {
-	listener, err := net.Listen("tcp", address)
+	address, err := ports.Take()
 	if err != nil {
-		return false
-	}
-	defer func() { _ = listener.Close() }()
-	packets, err := net.ListenPacket("udp", address)
-	if err != nil {
-		return false
+		t.Fatal(err)
 	}
-	return packets.Close() == nil
+	return address
 }
 
 func (f *testFleet) startRouter(s RouterSettings) {
--- a/internal/layout/ports.go
+++ b/internal/freeport/freeport.go
@@ -1,4 +1,5 @@
-package layout
+// Package freeport gives out loopback ports for tests and replays.
+package freeport
 
 import (
 	"net"
@@ -9,8 +10,8 @@
 	"github.com/pkg/errors"
 )
 
-// ErrNoPorts means that too few ports are free.
-var ErrNoPorts = errors.New("too few free ports on 127.0.0.1: end other runs")
+// ErrNone means that too few ports are free.
+var ErrNone = errors.New("too few free ports on 127.0.0.1: end other runs")
 
 const (
 	loopback = "127.0.0.1"
@@ -37,8 +38,8 @@
 	return &Ports{next: os.Getpid() * portStride % (lastPort - firstPort), left: lastPort - firstPort}
 }
 
-// take returns a free IP number and port.
-func (p *Ports) take() (string, error) {
+// Take returns a free IP number and port, or ErrNone.
+func (p *Ports) Take() (string, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for p.left > 0 {
@@ -50,7 +51,7 @@
 			return address, nil
 		}
 	}
-	return "", ErrNoPorts
+	return "", ErrNone
 }
 
 func free(address string) bool {
--- a/internal/prove/harness_test.go
+++ b/internal/prove/harness_test.go
@@ -16,6 +16,7 @@
 	"github.com/verbenatrail/verbenatrail/internal/callers"
 	"github.com/verbenatrail/verbenatrail/internal/configstore"
 	"github.com/verbenatrail/verbenatrail/internal/declare"
+	"github.com/verbenatrail/verbenatrail/internal/freeport"
 	"github.com/verbenatrail/verbenatrail/internal/kv/etcdjson"
 	"github.com/verbenatrail/verbenatrail/internal/layout"
 	"github.com/verbenatrail/verbenatrail/internal/replay"
@@ -33,7 +34,7 @@
 	binaries string
 	// starting lets one fleet at a time choose its ports and bind them.
 	starting sync.Mutex
-	ports    = layout.NewPorts()
+	ports    = freeport.NewPorts()
 )
 
 func TestMain(m *testing.M) { os.Exit(run(m)) }
--- a/internal/replay/calls.go
+++ b/internal/replay/calls.go
@@ -9,6 +9,7 @@
 
 	"github.com/verbenatrail/verbenatrail/internal/callers"
 	"github.com/verbenatrail/verbenatrail/internal/layout"
+	"github.com/verbenatrail/verbenatrail/internal/pause"
 	"github.com/verbenatrail/verbenatrail/internal/standin/service"
 	"github.com/verbenatrail/verbenatrail/internal/trace"
 )
@@ -33,7 +34,7 @@
 
 // resendCall sends an action again as another client of the same workspace.
 func (r *run) resendCall(ctx context.Context, call trace.Call, key string) {
-	if wait(ctx, time.Duration(call.ResendAfterMS)*time.Millisecond) != nil {
+	if pause.For(ctx, time.Duration(call.ResendAfterMS)*time.Millisecond) != nil {
 		return
 	}
 	r.sendCall(ctx, call, key, r.clients[call.Workspace])
--- a/internal/replay/replay.go
+++ b/internal/replay/replay.go
@@ -11,6 +11,7 @@
 
 	"github.com/verbenatrail/verbenatrail/internal/callers"
 	"github.com/verbenatrail/verbenatrail/internal/layout"
+	"github.com/verbenatrail/verbenatrail/internal/pause"
 	"github.com/verbenatrail/verbenatrail/internal/trace"
 )
 
@@ -45,7 +46,7 @@
 	watchers.Go(func() error { r.sampler.run(watching); return nil })
 	watchers.Go(func() error { r.showProgress(watching); return nil })
 	r.drive(ctx)
-	_ = wait(ctx, settleTime)
+	_ = pause.For(ctx, settleTime)
 	r.collectExecutions(ctx)
 	stopWatching()
 	_ = watchers.Wait()
@@ -120,28 +121,14 @@
 
 // waitUntil waits for a time of the trace.
 func (r *run) waitUntil(ctx context.Context, at time.Duration) error {
-	return wait(ctx, time.Until(r.started.Add(at)))
-}
-
-func wait(ctx context.Context, d time.Duration) error {
-	if d <= 0 {
-		return ctx.Err()
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
+	return pause.For(ctx, time.Until(r.started.Add(at)))
 }
 
 func (r *run) showProgress(ctx context.Context) {
 	if r.options.Progress == nil {
 		return
 	}
-	for wait(ctx, progressInterval) == nil {
+	for pause.For(ctx, progressInterval) == nil {
 		r.mu.Lock()
 		turns, calls := len(r.record.Turns), len(r.record.Calls)
 		r.mu.Unlock()
--- a/internal/steward/election.go
+++ b/internal/steward/election.go
@@ -11,6 +11,7 @@
 
 	"github.com/verbenatrail/verbenatrail/internal/kv"
 	"github.com/verbenatrail/verbenatrail/internal/orders"
+	"github.com/verbenatrail/verbenatrail/internal/pause"
 )
 
 // keyHolder names the holder of the stewards' lease. Its revision in the
@@ -47,7 +48,7 @@
 			e.emit(orders.Lost{})
 			e.revoke(ctx, id)
 		}
-		pause(ctx, e.ttl/4+rand.N(e.ttl/4+1))
+		_ = pause.For(ctx, e.ttl/4+rand.N(e.ttl/4+1))
 	}
 }
 
@@ -139,12 +140,3 @@
 	defer cancel()
 	_ = e.store.Revoke(ctx, id)
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/steward/steward.go
+++ b/internal/steward/steward.go
@@ -18,6 +18,7 @@
 	"github.com/verbenatrail/verbenatrail/internal/hostlist"
 	"github.com/verbenatrail/verbenatrail/internal/kv"
 	"github.com/verbenatrail/verbenatrail/internal/orders"
+	"github.com/verbenatrail/verbenatrail/internal/pause"
 )
 
 const (
@@ -158,7 +159,7 @@
 			case <-ctx.Done():
 			}
 		}
-		pause(ctx, s.options.HostListInterval)
+		_ = pause.For(ctx, s.options.HostListInterval)
 	}
 }
 
