Cluster: a suspect router counts as idle in the mean of a pool

Calls go to the next owner at the first failed connection, but the dead router's last load was counted until it had failed for good, about 4 s: the mean and with it the bound were too high by up to a router's share. Foreign load was ruled out, which falls on the safe side here.

--- a/internal/cluster/loop.go
+++ b/internal/cluster/loop.go
@@ -186,7 +186,7 @@
 	if l.topologyDirty {
 		l.fillTopology(now, &next)
 	}
-	next.PoolMeans = l.poolMeans(&next)
+	next.PoolMeans = l.poolMeans(now, &next)
 	next.Newest = l.newest
 	l.topologyDirty, l.meansDirty = false, false
 	l.manager.publish(&next)
@@ -207,15 +207,23 @@
 	return metrics.GetOrRegisterGauge("cluster."+name, l.options.Registry)
 }
 
-func (l *loop) poolMeans(v *View) map[uint32]float64 {
+// poolMeans returns the mean load per router. A suspect router counts as idle:
+// callers take its requests to other routers at once, which count them, long
+// before it is known to have failed.
+func (l *loop) poolMeans(now time.Time, v *View) map[uint32]float64 {
+	out := make(map[uint32]float64)
+	if len(v.Routers) == 0 {
+		return out
+	}
 	names := make([]string, 0, len(v.Routers))
-	for _, r := range v.Routers {
-		names = append(names, r.Name)
+	for _, r := range l.members.Routers(now) {
+		if r.Condition != membership.Suspect {
+			names = append(names, r.Host.Name)
+		}
 	}
-	means := l.average.Means(v.Self, names)
-	out := make(map[uint32]float64, len(means))
-	for _, mean := range means {
-		out[mean.Pool] = mean.InFlight
+	share := float64(len(names)) / float64(len(v.Routers))
+	for _, mean := range l.average.Means(v.Self, names) {
+		out[mean.Pool] = mean.InFlight * share
 	}
 	return out
 }
