--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -167,6 +167,11 @@
 	if len(pool.peers) != 1 {
 		t.Fatal("a session in use was closed")
 	}
+	// The other end's half of the stream may close a little later.
+	session := pool.peers[address].session
+	for deadline := time.Now().Add(5 * time.Second); session.NumStreams() > 0 && time.Now().Before(deadline); {
+		time.Sleep(time.Millisecond)
+	}
 	pool.CloseIdle(time.Now().Add(2 * idleCloseAfter))
 	if len(pool.peers) != 0 {
 		t.Error("an idle session was kept")
