--- a/internal/owner/gateset.go
+++ b/internal/owner/gateset.go
@@ -170,8 +170,7 @@
 	if weight == 0 {
 		return 0
 	}
-	total := view.PoolMeans[pool.Hash] * float64(len(view.Routers))
-	return total / weight * float64(upstream.Weight)
+	return view.PoolLoad(pool.Hash) / weight * float64(upstream.Weight)
 }
 
 // liveWeight sums the weights of the pool's upstreams that are not gone.
--- a/internal/relay/failure.go
+++ b/internal/relay/failure.go
@@ -6,6 +6,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/verbenatrail/verbenatrail/internal/pause"
 	"github.com/verbenatrail/verbenatrail/internal/refusal"
 )
 
@@ -133,14 +134,10 @@
 }
 
 func (s *session) pause(ctx context.Context, delay time.Duration) *refusal.Refusal {
-	timer := time.NewTimer(delay)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
+	if pause.For(ctx, delay) != nil {
 		return s.afterContext(ctx)
 	}
+	return nil
 }
 
 // final returns an owner's refusal with the outcome that holds for the whole
--- a/internal/relay/session.go
+++ b/internal/relay/session.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -87,10 +88,10 @@
 
 // skip leaves out the upstreams that can't take the call.
 func (s *session) skip(ask placement.Ask) bool {
-	if contains(s.progress.failed, ask.Upstream) || s.stateOf(ask.Upstream) != cluster.Live {
+	if slices.Contains(s.progress.failed, ask.Upstream) || s.stateOf(ask.Upstream) != cluster.Live {
 		return true
 	}
-	return contains(s.full, ask.Upstream)
+	return slices.Contains(s.full, ask.Upstream)
 }
 
 func (s *session) stateOf(upstream string) cluster.UpstreamState {
@@ -116,7 +117,7 @@
 func (s *session) leastLoaded(state cluster.UpstreamState) (string, bool) {
 	best, found := "", false
 	for _, upstream := range s.plan.Ranked {
-		if contains(s.progress.failed, upstream) || s.stateOf(upstream) != state {
+		if slices.Contains(s.progress.failed, upstream) || s.stateOf(upstream) != state {
 			continue
 		}
 		if !found || s.loads[upstream] < s.loads[best] {
@@ -200,12 +201,3 @@
 	}
 	return refused
 }
-
-func contains(names []string, name string) bool {
-	for _, n := range names {
-		if n == name {
-			return true
-		}
-	}
-	return false
-}
