--- /dev/null
+++ b/internal/dispatch/metrics.go
@@ -0,0 +1,51 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/verbenatrail/verbenatrail/internal/instances"
+	"github.com/verbenatrail/verbenatrail/internal/refusal"
+)
+
+// histogramSample is the number of values that a histogram keeps.
+const histogramSample = 512
+
+// callMetrics are the counters and histograms of a Dispatcher.
+type callMetrics struct {
+	registry  metrics.Registry
+	calls     metrics.Counter
+	inFlight  metrics.Counter
+	firstByte metrics.Histogram
+	whole     metrics.Histogram
+	overhead  metrics.Histogram
+}
+
+func newCallMetrics(registry metrics.Registry) *callMetrics {
+	histogram := func(name string) metrics.Histogram {
+		return metrics.GetOrRegisterHistogram(name, registry, metrics.NewUniformSample(histogramSample))
+	}
+	return &callMetrics{
+		registry:  registry,
+		calls:     metrics.GetOrRegisterCounter("calls.received", registry),
+		inFlight:  metrics.GetOrRegisterCounter("calls.in_flight", registry),
+		firstByte: histogram("calls.first_byte.microseconds"),
+		whole:     histogram("calls.whole.microseconds"),
+		overhead:  histogram("calls.placement.microseconds"),
+	}
+}
+
+func (m *callMetrics) refusals(kind refusal.Kind) metrics.Counter {
+	return metrics.GetOrRegisterCounter("calls.refused."+string(kind), m.registry)
+}
+
+func (m *callMetrics) sends(result instances.Result) metrics.Counter {
+	return metrics.GetOrRegisterCounter("sends."+result.String(), m.registry)
+}
+
+func (m *callMetrics) ended(outcome string) metrics.Counter {
+	return metrics.GetOrRegisterCounter("calls.ended."+outcome, m.registry)
+}
+
+func microseconds(d time.Duration) int64 { return d.Microseconds() }
--- /dev/null
+++ b/internal/dispatch/send.go
@@ -0,0 +1,240 @@
+package dispatch
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/verbenatrail/verbenatrail/internal/attempt"
+	"github.com/verbenatrail/verbenatrail/internal/call"
+	"github.com/verbenatrail/verbenatrail/internal/instances"
+	"github.com/verbenatrail/verbenatrail/internal/routing"
+	"github.com/verbenatrail/verbenatrail/internal/telemetry"
+	"github.com/verbenatrail/verbenatrail/internal/upstream"
+)
+
+const (
+	// maxWhole bounds an answer that is held before it is passed on.
+	maxWhole = 32 << 20
+	// maxForeign is the number of answers to other calls that are passed over on
+	// one connection, and maxForeignBody their size.
+	maxForeign     = 2
+	maxForeignBody = 1 << 20
+	// strayPause is how long a connection's end is awaited by a deadline of the
+	// network poller beyond the call's own, so that the call's verdict is taken
+	// after the deadline.
+	strayPause = time.Millisecond
+)
+
+// sent is what came of one send.
+type sent struct {
+	// answered is set when the caller has its whole answer, or the end of it.
+	answered bool
+	progress attempt.Progress
+	result   instances.Result
+	// reason says what failed, for the log.
+	reason string
+}
+
+func failed(progress attempt.Progress, result instances.Result, reason string) sent {
+	return sent{progress: progress, result: result, reason: reason}
+}
+
+// send sends the call to one instance and passes its answer on.
+func (r *run) send(p pick) sent {
+	ctx, span := telemetry.StartSpan(r.ctx, "send")
+	defer telemetry.EndSpan(span, nil)
+	options := r.dispatcher.options
+	conn, err := options.Pool.Get(ctx, p.instance.Address)
+	if err != nil {
+		options.Balancer.report(p, r.route, instances.Unreachable, 0)
+		return failed(attempt.Unsent, instances.Unreachable, err.Error())
+	}
+	e := &exchange{run: r, pick: p, conn: conn, began: time.Now()}
+	s := e.exchange(ctx)
+	e.report(s)
+	return s
+}
+
+// exchange is one send over one connection.
+type exchange struct {
+	run   *run
+	pick  pick
+	conn  *upstream.Conn
+	began time.Time
+	// firstByte is when the answer began, zero before.
+	firstByte time.Time
+	silence   *silence
+	reply     call.Reply
+	keepAlive time.Duration
+}
+
+func (e *exchange) exchange(ctx context.Context) sent {
+	stopWatching := e.conn.CloseOn(ctx)
+	defer stopWatching()
+	e.conn.SetReadDeadline(e.run.deadline.Add(strayPause))
+	if err := e.conn.Send(e.request()); err != nil {
+		e.conn.Close()
+		return failed(attempt.MayHaveRun, instances.Broken, err.Error())
+	}
+	e.silence = e.watchSilence()
+	defer e.silence.stop()
+	response, err := e.head()
+	if err != nil {
+		e.conn.Close()
+		return e.broken(err)
+	}
+	return e.pass(response)
+}
+
+func (e *exchange) request() *upstream.Request {
+	r := e.run
+	send := call.Send{
+		Instance: e.pick.instance.ID, Workspace: r.workspaceName(), TimeLeft: time.Until(r.deadline),
+		Urgency: routing.Priority(r.route, r.workspace), FetchFrom: e.pick.fetchFrom, ResumeAfter: r.stream.lastID,
+	}
+	return &upstream.Request{
+		Method: r.call.Method, Host: r.call.Host, Target: r.call.Target,
+		Header: r.dispatcher.options.Codec.EncodeSend(r.call, send), Body: r.call.Body,
+	}
+}
+
+// head reads the head of this call's answer. Answers to other calls that came
+// late on the connection are passed over.
+func (e *exchange) head() (*http.Response, error) {
+	for range maxForeign + 1 {
+		response, err := e.conn.ReadHead(e.run.call.Method)
+		if err != nil {
+			return nil, err
+		}
+		e.reply = e.run.dispatcher.options.Codec.DecodeReply(response.StatusCode, response.Header)
+		if e.reply.CallID == "" || e.reply.CallID == e.run.call.ID {
+			return response, nil
+		}
+		if err := upstream.Discard(response, maxForeignBody); err != nil {
+			return nil, err
+		}
+	}
+	return nil, errors.Wrap(upstream.ErrBroken, "too many answers to other calls")
+}
+
+// pass decides what the answer's head means and passes the answer on.
+func (e *exchange) pass(response *http.Response) sent {
+	e.keepAlive = e.reply.KeepAlive
+	if response.Close {
+		e.keepAlive = -1
+	}
+	e.run.dispatcher.options.Balancer.heardLoad(e.pick, e.reply.Load)
+	switch {
+	case e.reply.NotRun:
+		return e.passNotRun(response)
+	case e.reply.CallID == "" && response.StatusCode < http.StatusBadRequest, e.reply.Encoded:
+		e.conn.Close()
+		return failed(attempt.MayHaveRun, instances.Broken, "the answer does not belong to the call")
+	case e.reply.EventStream && response.StatusCode == http.StatusOK:
+		return e.passStream(response)
+	default:
+		return e.passWhole(response)
+	}
+}
+
+func (e *exchange) passNotRun(response *http.Response) sent {
+	if err := upstream.Discard(response, maxForeignBody); err != nil {
+		e.conn.Close()
+	} else {
+		e.release()
+	}
+	if e.reply.WrongInstance {
+		return failed(attempt.NotRun, instances.Replaced, "another instance has the address")
+	}
+	return failed(attempt.NotRun, instances.Shed, "status "+strconv.Itoa(response.StatusCode))
+}
+
+// passWhole holds an answer until it is complete.
+func (e *exchange) passWhole(response *http.Response) sent {
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxWhole+1))
+	if err == nil && len(body) > maxWhole {
+		err = errors.Wrap(upstream.ErrBroken, "the answer exceeds 32 MiB")
+	}
+	if err != nil {
+		e.conn.Close()
+		return e.broken(err)
+	}
+	e.firstByte = time.Now()
+	e.release()
+	result := instances.Succeeded
+	if response.StatusCode >= http.StatusInternalServerError {
+		result = instances.Failed
+	}
+	if result == instances.Failed && e.worthRetry() {
+		return failed(attempt.MayHaveRun, result, "status "+strconv.Itoa(response.StatusCode))
+	}
+	if e.reply.PromisesNotRun && !e.run.route.Repeatable() {
+		// The status would tell the caller that the call has not run, which the
+		// instance did not state.
+		return failed(attempt.MayHaveRun, result, "status "+strconv.Itoa(response.StatusCode)+" without a statement")
+	}
+	e.run.status, e.run.outcome = response.StatusCode, "answered"
+	e.run.out.Whole(response.StatusCode, response.Header, body)
+	return sent{answered: true, result: result}
+}
+
+// worthRetry reports whether another instance would probably do better: an
+// application's own failure mostly repeats itself, a model engine's doesn't.
+func (e *exchange) worthRetry() bool {
+	return e.run.route.Kind == routing.Streaming || e.pick.state == instances.Degraded
+}
+
+// broken classifies an answer that ended too early.
+func (e *exchange) broken(err error) sent {
+	if e.silence.gaveUp() {
+		return failed(attempt.MayHaveRun, instances.Silent, "nothing came within "+e.silence.patience.String())
+	}
+	if !time.Now().Before(e.run.deadline) {
+		return failed(attempt.MayHaveRun, instances.Silent, "deadline reached: "+err.Error())
+	}
+	return failed(attempt.MayHaveRun, instances.Broken, err.Error())
+}
+
+func (e *exchange) release() { e.run.dispatcher.options.Pool.Release(e.conn, e.keepAlive) }
+
+// report tells the balancer what the send says about the instance.
+func (e *exchange) report(s sent) {
+	if e.run.ctx.Err() != nil && !s.answered {
+		// The caller left; that says nothing about the instance.
+		return
+	}
+	b := e.run.dispatcher.options.Balancer
+	took := time.Duration(0)
+	if !e.firstByte.IsZero() {
+		took = e.firstByte.Sub(e.began)
+		e.run.dispatcher.metrics.firstByte.Update(microseconds(took))
+	}
+	if e.pick.unread > 0 {
+		// The time depends on what had to be read.
+		took = 0
+	}
+	b.report(e.pick, e.run.route, s.result, took)
+	switch {
+	case s.answered:
+		b.finished(e.run.fingerprint)
+	case s.result == instances.Broken:
+		go e.checkCrash()
+	}
+}
+
+// checkCrash looks whether the instance of a broken connection has gone down:
+// then the call may have been the cause.
+func (e *exchange) checkCrash() {
+	conn, err := e.run.dispatcher.options.Pool.Dial(context.WithoutCancel(e.run.ctx), e.pick.instance.Address)
+	if err != nil {
+		e.run.dispatcher.options.Balancer.report(e.pick, e.run.route, instances.Unreachable, 0)
+		e.run.dispatcher.options.Balancer.crashed(e.pick, e.run.fingerprint)
+		return
+	}
+	e.run.dispatcher.options.Pool.Release(conn, 0)
+}
--- /dev/null
+++ b/internal/edge/edge.go
@@ -0,0 +1,229 @@
+package edge
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rcrowley/go-metrics"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/verbenatrail/verbenatrail/internal/containment"
+	"github.com/verbenatrail/verbenatrail/internal/decisionlog"
+	"github.com/verbenatrail/verbenatrail/internal/dispatch"
+	"github.com/verbenatrail/verbenatrail/internal/ingress"
+	"github.com/verbenatrail/verbenatrail/internal/kv"
+	"github.com/verbenatrail/verbenatrail/internal/mirror"
+	"github.com/verbenatrail/verbenatrail/internal/peering"
+	"github.com/verbenatrail/verbenatrail/internal/peerpb"
+	"github.com/verbenatrail/verbenatrail/internal/routing"
+	"github.com/verbenatrail/verbenatrail/internal/telemetry"
+	"github.com/verbenatrail/verbenatrail/internal/upstream"
+)
+
+// Options configure an Edge.
+type Options struct {
+	Settings Settings
+	Store    kv.Store
+	Provider Provider
+	Codec    Codec
+	// Handlers serves the readiness and directory addresses.
+	Handlers func(*Edge) (ready, directory http.Handler)
+	Log      *decisionlog.Log
+	Registry metrics.Registry
+}
+
+// Edge is one router process.
+type Edge struct {
+	options  Options
+	balancer *dispatch.Balancer
+	pool     *upstream.Pool
+	callers  *ingress.Server
+	link     *peering.Link
+
+	table   atomic.Pointer[routing.Table]
+	routers atomic.Pointer[[]peering.Router]
+	// records is the newest copy of the platform's records, for other routers.
+	records atomic.Pointer[peerpb.StateResponse]
+	leaving atomic.Bool
+
+	commands chan command
+	// resync interrupts the watch of the store when others are ahead.
+	resync chan struct{}
+}
+
+// commandBuffer is the number of commands that wait for the control goroutine.
+const commandBuffer = 256
+
+// New assembles a router; Run starts it. Its error is peering.ErrPeerAddress.
+func New(o Options) (*Edge, error) {
+	e := &Edge{options: o, commands: make(chan command, commandBuffer), resync: make(chan struct{}, 1)}
+	link, err := peering.Open(o.Settings.Name, o.Settings.PeerAddress, uint64(time.Now().UnixNano()), o.Registry)
+	if err != nil {
+		return nil, err
+	}
+	e.link = link
+	e.balancer = dispatch.NewBalancer(dispatch.BalancerOptions{
+		Zone: o.Settings.FailureDomain, Retries: o.Settings.Retries, Containment: containment.DefaultSettings(),
+		Log: o.Log, Strike: func(s *peerpb.Strike) { e.post(strikeFound{strike: s}) },
+	})
+	e.pool = upstream.NewPool(o.Registry)
+	dispatcher := dispatch.New(dispatch.Options{
+		Balancer: e.balancer, Pool: e.pool, Codec: o.Codec, Table: e.table.Load, Log: o.Log, Registry: o.Registry,
+	})
+	e.callers = ingress.New(ingress.Options{
+		Codec: o.Codec, Dispatcher: dispatcher, Table: e.table.Load, Log: o.Log, Registry: o.Registry,
+	})
+	e.routers.Store(&[]peering.Router{})
+	e.records.Store(&peerpb.StateResponse{})
+	return e, nil
+}
+
+// post hands a command to the control goroutine; it is counted and dropped
+// when too many wait.
+func (e *Edge) post(c command) {
+	select {
+	case e.commands <- c:
+	default:
+		metrics.GetOrRegisterCounter("edge.commands.dropped", e.options.Registry).Inc(1)
+	}
+}
+
+// Ready reports whether callers should use this router.
+func (e *Edge) Ready() bool {
+	return !e.leaving.Load() && e.table.Load() != nil && e.balancer.InstanceCount() > 0
+}
+
+// CallerAddresses returns where callers may connect: this router if it is
+// ready, and the others that were heard lately.
+func (e *Edge) CallerAddresses() []string {
+	var out []string
+	if e.Ready() {
+		out = append(out, e.options.Settings.CallerAddress)
+	}
+	for _, r := range *e.routers.Load() {
+		if r.Accepting && !r.Leaving && r.CallerAddress != "" {
+			out = append(out, r.CallerAddress)
+		}
+	}
+	return out
+}
+
+// Run serves until the context ends, and then leaves without cutting calls.
+func (e *Edge) Run(ctx context.Context) error {
+	listeners, err := e.listen()
+	if err != nil {
+		return err
+	}
+	running, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	group, running := errgroup.WithContext(running)
+	e.startControl(running, group)
+	e.startServers(running, group, listeners)
+	e.options.Log.Lifecycle("router started", decisionlog.Fields{
+		"router": e.options.Settings.Name, "callers": e.options.Settings.CallerAddress,
+		"peers": e.options.Settings.PeerAddress, "seeds": e.options.Settings.Seeds,
+	})
+	select {
+	case <-ctx.Done():
+		e.leave(time.Now())
+	case <-running.Done():
+	}
+	stop()
+	return group.Wait()
+}
+
+// startControl starts what follows the platform and the other routers.
+func (e *Edge) startControl(ctx context.Context, group *errgroup.Group) {
+	c := newControl(e)
+	follower := &mirror.Follower{
+		Store:   e.options.Store,
+		Deliver: func(u mirror.Update) { e.deliver(ctx, storeUpdate{update: u}) },
+		After:   func() int64 { return e.records.Load().GetRevision() },
+	}
+	group.Go(func() error { return c.run(ctx) })
+	group.Go(func() error { return follower.Run(ctx, e.resync) })
+	group.Go(func() error { return e.register(ctx) })
+	group.Go(func() error {
+		return e.link.Receive(ctx, func(r peering.Received) { e.post(digestReceived{received: r}) })
+	})
+	group.Go(func() error { return e.link.ServeState(ctx, e.stateFor) })
+	group.Go(func() error { return e.pool.Run(ctx) })
+	group.Go(func() error { return e.callers.Run(ctx) })
+}
+
+// deliver hands over a command that must not be lost.
+func (e *Edge) deliver(ctx context.Context, c command) {
+	select {
+	case e.commands <- c:
+	case <-ctx.Done():
+	}
+}
+
+// stateFor returns the records for a router that has a revision.
+func (e *Edge) stateFor(have int64) *peerpb.StateResponse {
+	records := e.records.Load()
+	if records.GetRevision() <= have {
+		return &peerpb.StateResponse{}
+	}
+	return records
+}
+
+// listeners are the addresses that a router serves.
+type listeners struct{ callers, ready, directory, metrics net.Listener }
+
+func (e *Edge) listen() (listeners, error) {
+	s := e.options.Settings
+	var l listeners
+	for address, to := range map[string]*net.Listener{
+		s.CallerAddress: &l.callers, s.ReadyAddress: &l.ready,
+		s.DirectoryAddress: &l.directory, s.MetricsAddress: &l.metrics,
+	} {
+		if address == "" {
+			continue
+		}
+		listener, err := net.Listen("tcp4", address)
+		if err != nil {
+			return listeners{}, errors.Wrapf(err, "address %s can't be opened: set a free one of this host", address)
+		}
+		*to = listener
+	}
+	return l, nil
+}
+
+func (e *Edge) startServers(ctx context.Context, group *errgroup.Group, l listeners) {
+	ready, directory := e.options.Handlers(e)
+	group.Go(func() error { return e.callers.Serve(l.callers) })
+	for listener, handler := range map[net.Listener]http.Handler{
+		l.ready: ready, l.directory: directory, l.metrics: telemetry.TextHandler(e.options.Registry),
+	} {
+		if listener == nil {
+			continue
+		}
+		group.Go(func() error { return serve(ctx, listener, handler) })
+	}
+}
+
+// sideTimeout bounds requests to the readiness, directory and metrics
+// addresses.
+const sideTimeout = 5 * time.Second
+
+// serve serves until the context ends, and then closes at once.
+func serve(ctx context.Context, listener net.Listener, handler http.Handler) error {
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: sideTimeout}
+	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
+	defer stop()
+	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		return errors.Wrap(err, "address can't be served")
+	}
+	return nil
+}
+
+// Reload takes changed settings. Addresses stay those of the start.
+func (e *Edge) Reload(s Settings) {
+	e.options.Log.Lifecycle("settings reloaded", decisionlog.Fields{"seeds": s.Seeds, "router": s.Name})
+	e.post(settingsChanged{seeds: s.Seeds})
+}
--- /dev/null
+++ b/internal/ingress/responder.go
@@ -0,0 +1,98 @@
+package ingress
+
+import (
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+
+	"github.com/pkg/errors"
+
+	"github.com/verbenatrail/verbenatrail/internal/call"
+	"github.com/verbenatrail/verbenatrail/internal/refusal"
+)
+
+// responder writes the answer of one call.
+type responder struct {
+	w       http.ResponseWriter
+	codec   Codec
+	call    *call.Call
+	leaving *atomic.Bool
+	broken  bool
+}
+
+// hopHeaders concern one connection only.
+var hopHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer",
+	"Transfer-Encoding", "Upgrade", "Proxy-Connection",
+}
+
+// StripHop removes the headers that concern one connection only.
+func StripHop(header http.Header) {
+	for _, list := range header["Connection"] {
+		for _, name := range strings.Split(list, ",") {
+			header.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range hopHeaders {
+		header.Del(name)
+	}
+}
+
+func (o *responder) head(header http.Header) {
+	StripHop(header)
+	to := o.w.Header()
+	for name, values := range header {
+		to[name] = values
+	}
+	if o.leaving.Load() {
+		to.Set("Connection", "close")
+	}
+}
+
+// Whole implements dispatch.Responder.
+func (o *responder) Whole(status int, header http.Header, body []byte) {
+	o.head(header)
+	if o.call.Method != http.MethodHead {
+		o.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	}
+	o.w.WriteHeader(status)
+	if len(body) == 0 || o.call.Method == http.MethodHead {
+		return
+	}
+	if _, err := o.w.Write(body); err != nil {
+		o.broken = true
+	}
+}
+
+// Begin implements dispatch.Responder.
+func (o *responder) Begin(status int, header http.Header) {
+	o.head(header)
+	o.w.Header().Del("Content-Length")
+	o.w.WriteHeader(status)
+}
+
+// Event implements dispatch.Responder.
+func (o *responder) Event(raw []byte, flush bool) error {
+	if _, err := o.w.Write(raw); err != nil {
+		o.broken = true
+		return errors.Wrap(err, "the caller left")
+	}
+	if !flush {
+		return nil
+	}
+	if err := http.NewResponseController(o.w).Flush(); err != nil {
+		o.broken = true
+		return errors.Wrap(err, "the caller left")
+	}
+	return nil
+}
+
+// End implements dispatch.Responder.
+func (o *responder) End() {}
+
+// Break implements dispatch.Responder.
+func (o *responder) Break() { o.broken = true }
+
+// Refuse implements dispatch.Responder.
+func (o *responder) Refuse(r *refusal.Refusal) { o.codec.WriteRefusal(o.w, o.call.ID, r) }
--- /dev/null
+++ b/internal/instances/instances.go
@@ -0,0 +1,307 @@
+// Package instances decides which instances of services may be used: from the
+// platform's listing, from what is known about the listing's own outages, and
+// from the results of this router's connections. It is pure: events come in
+// with their time. A Registry isn't safe for concurrent use.
+package instances
+
+import (
+	"slices"
+	"time"
+)
+
+// Instance is one listed instance of a service.
+type Instance struct {
+	// ID is new at most starts of an instance.
+	ID      string
+	Service string
+	Address string
+	Zone    string
+	Slots   int
+	// Draining instances finish their work and take none.
+	Draining bool
+	// Born is the start of this run of the instance; an ID may start again.
+	Born time.Time
+	// WarmAt is when the instance reaches its full speed after its start.
+	WarmAt time.Time
+}
+
+// State tells whether an instance may take work.
+type State int
+
+// States of an instance, the most usable first.
+const (
+	// Healthy instances take work.
+	Healthy State = iota
+	// Degraded instances fail or delay more than their peers: they are used
+	// when no healthy one has room.
+	Degraded
+	// Suspect instances could not be reached lately: they are used when there
+	// is no other.
+	Suspect
+	// Draining instances take no work.
+	Draining
+	// Gone instances take no work.
+	Gone
+)
+
+// String returns the state as logs write it.
+func (s State) String() string {
+	return [...]string{"healthy", "degraded", "suspect", "draining", "gone"}[s]
+}
+
+// Result is the outcome of one use of an instance.
+type Result int
+
+// Results of a use.
+const (
+	// Succeeded: a whole answer came.
+	Succeeded Result = iota
+	// Unreachable: no connection could be made.
+	Unreachable
+	// Broken: the connection ended before the answer did.
+	Broken
+	// Silent: nothing came in time.
+	Silent
+	// Failed: the instance answered with its own failure.
+	Failed
+	// Shed: the instance stated that it has not run the call.
+	Shed
+	// Replaced: another instance has the address.
+	Replaced
+)
+
+// String returns the result as logs write it.
+func (r Result) String() string {
+	return [...]string{"succeeded", "unreachable", "broken", "silent", "failed", "shed", "replaced"}[r]
+}
+
+const (
+	// returnGrace is how long an entry that was removed around an outage of the
+	// listing stays in use after the listing is back: the platform restores
+	// entries of live instances within about two seconds.
+	returnGrace = 2200 * time.Millisecond
+	// outageShadow is how long after the listing's return a removal may still
+	// stem from the outage.
+	outageShadow = 2500 * time.Millisecond
+)
+
+// Candidate is an instance that may take work now.
+type Candidate struct {
+	Instance
+	State State
+}
+
+// ReasonStarted is the reason of the first change of an instance, or of one that
+// started again under its ID.
+const ReasonStarted = "started"
+
+// Change tells that an instance went to another state.
+type Change struct {
+	Instance Instance
+	State    State
+	Reason   string
+}
+
+// entry is what is known about one instance.
+type entry struct {
+	instance Instance
+	// lapsed is set while the entry is missing from the listing but may return.
+	lapsed  bool
+	until   time.Time
+	health  health
+	told    State
+	removed bool
+}
+
+// Registry holds the instances that one router knows.
+type Registry struct {
+	entries map[string]*entry
+	// listingLost is set while the listing can't be read.
+	listingLost bool
+	returned    time.Time
+	services    map[string][]*entry
+}
+
+// New returns an empty Registry.
+func New() *Registry {
+	return &Registry{entries: make(map[string]*entry), services: make(map[string][]*entry)}
+}
+
+// ListingLost tells that the listing can't be read.
+func (r *Registry) ListingLost() { r.listingLost = true }
+
+// ListingBack tells that the listing can be read again.
+func (r *Registry) ListingBack(now time.Time) {
+	if r.listingLost {
+		r.listingLost = false
+		r.returned = now
+	}
+}
+
+// Replace takes the whole listing and returns what changed.
+func (r *Registry) Replace(now time.Time, listed []Instance) []Change {
+	var changes []Change
+	seen := make(map[string]bool, len(listed))
+	for _, i := range listed {
+		seen[i.ID] = true
+		changes = append(changes, r.upsert(now, i)...)
+	}
+	for _, id := range r.ids() {
+		if !seen[id] {
+			changes = append(changes, r.remove(now, r.entries[id])...)
+		}
+	}
+	r.index()
+	return changes
+}
+
+func (r *Registry) ids() []string {
+	ids := make([]string, 0, len(r.entries))
+	for id := range r.entries {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+func (r *Registry) upsert(now time.Time, i Instance) []Change {
+	e, ok := r.entries[i.ID]
+	reason := "listing"
+	if !ok || !e.instance.Born.Equal(i.Born) || e.instance.Address != i.Address {
+		e = &entry{told: Gone}
+		r.entries[i.ID] = e
+		reason = ReasonStarted
+	}
+	e.instance, e.lapsed, e.removed = i, false, false
+	return e.report(now, reason)
+}
+
+// remove takes an entry out of use. One that was removed around an outage of
+// the listing stays in use until its grace ends.
+func (r *Registry) remove(now time.Time, e *entry) []Change {
+	if e.lapsed || e.removed {
+		return r.expire(now, e)
+	}
+	duringOutage := r.listingLost || now.Sub(r.returned) < outageShadow && !r.returned.IsZero()
+	if duringOutage && !e.instance.Draining {
+		e.lapsed = true
+		e.until = r.graceEnd(now)
+		return nil
+	}
+	e.removed = true
+	return r.drop(now, e, "left the listing")
+}
+
+func (r *Registry) graceEnd(now time.Time) time.Time {
+	if r.listingLost {
+		return now.Add(returnGrace)
+	}
+	return r.returned.Add(returnGrace)
+}
+
+// Tick ends the grace of lapsed entries.
+func (r *Registry) Tick(now time.Time) []Change {
+	var changes []Change
+	for _, id := range r.ids() {
+		e := r.entries[id]
+		if e.lapsed {
+			changes = append(changes, r.expire(now, e)...)
+			continue
+		}
+		changes = append(changes, e.report(now, "health")...)
+	}
+	if len(changes) > 0 {
+		r.index()
+	}
+	return changes
+}
+
+func (r *Registry) expire(now time.Time, e *entry) []Change {
+	if now.Before(e.until) {
+		return nil
+	}
+	return r.drop(now, e, "missing after an outage of the listing")
+}
+
+func (r *Registry) drop(now time.Time, e *entry, reason string) []Change {
+	delete(r.entries, e.instance.ID)
+	e.removed = true
+	return e.report(now, reason)
+}
+
+// index groups the entries by service, in ID order.
+func (r *Registry) index() {
+	clear(r.services)
+	for _, id := range r.ids() {
+		e := r.entries[id]
+		r.services[e.instance.Service] = append(r.services[e.instance.Service], e)
+	}
+}
+
+// Report takes the result of using an instance. Took is the time to the first
+// byte of an answer, relative to what was expected of it; zero when unknown.
+func (r *Registry) Report(now time.Time, id string, result Result, slowness float64) []Change {
+	e, ok := r.entries[id]
+	if !ok {
+		return nil
+	}
+	e.health.observe(now, result, slowness)
+	return e.report(now, result.String())
+}
+
+// Candidates returns the instances of a service that may take work, those in
+// the best state only, in ID order. Excluded ones are left out.
+func (r *Registry) Candidates(now time.Time, service string, excluded []string) []Candidate {
+	var all []Candidate
+	best := Gone
+	for _, e := range r.services[service] {
+		state := e.state(now)
+		if state >= Draining || slices.Contains(excluded, e.instance.ID) {
+			continue
+		}
+		best = min(best, state)
+		all = append(all, Candidate{Instance: e.instance, State: state})
+	}
+	if best >= Suspect {
+		return all
+	}
+	return slices.DeleteFunc(all, func(c Candidate) bool { return c.State >= Suspect })
+}
+
+// Get returns an instance and its state; Gone when it isn't known.
+func (r *Registry) Get(now time.Time, id string) (Instance, State) {
+	if e, ok := r.entries[id]; ok {
+		return e.instance, e.state(now)
+	}
+	return Instance{}, Gone
+}
+
+// Counts returns the number of instances by state.
+func (r *Registry) Counts(now time.Time) map[State]int {
+	out := make(map[State]int)
+	for _, e := range r.entries {
+		out[e.state(now)]++
+	}
+	return out
+}
+
+func (e *entry) state(now time.Time) State {
+	switch {
+	case e.removed || e.health.replaced:
+		return Gone
+	case e.instance.Draining:
+		return Draining
+	default:
+		return e.health.state(now)
+	}
+}
+
+// report returns the change that wasn't told yet.
+func (e *entry) report(now time.Time, reason string) []Change {
+	state := e.state(now)
+	if state == e.told {
+		return nil
+	}
+	e.told = state
+	return []Change{{Instance: e.instance, State: state, Reason: reason}}
+}
--- /dev/null
+++ b/internal/peering/roster.go
@@ -0,0 +1,215 @@
+// Package peering connects routers that serve the same platform: each tells the
+// others again and again that it lives, what it holds and how far its copy of
+// the platform's records is, and gives that copy to one that is behind.
+//
+// A router sends a bounded number of digests a round, whatever the number of
+// routers; so the time after which a silent one is left out grows with it.
+package peering
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+const (
+	// RoundInterval is the time between two rounds of digests.
+	RoundInterval = 250 * time.Millisecond
+	// Fanout is the most routers that are sent a digest in one round; it keeps
+	// the cost of a round the same in a fleet of any size.
+	Fanout = 16
+	// missedRounds is the number of digests in a row whose loss makes a router
+	// count as silent: callers give up on a connection after a second.
+	missedRounds = 4
+	// forgetAfter is how long a silent router is still sent digests, so that it
+	// is found again after a cut.
+	forgetAfter = 2 * time.Minute
+)
+
+// Router is what one router says of itself.
+type Router struct {
+	Name string
+	// Incarnation rises with each start of the process.
+	Incarnation   uint64
+	CallerAddress string
+	PeerAddress   string
+	FailureDomain string
+	Accepting     bool
+	Leaving       bool
+	StateRevision int64
+}
+
+// Change tells that a router was heard, lost, or changed its mind.
+type Change struct {
+	Router Router
+	// What is "heard", "silent", "leaving", "accepting" or "not accepting".
+	What string
+	// Silence is how long the router was not heard.
+	Silence time.Duration
+}
+
+type member struct {
+	router Router
+	heard  time.Time
+	silent bool
+}
+
+// Roster is what one router knows of the others. It is pure, and not safe for
+// concurrent use.
+type Roster struct {
+	self    string
+	random  *rand.Rand
+	members map[string]*member
+	// listed are peer addresses from the platform's records or the settings,
+	// of routers that may not have been heard yet.
+	listed []string
+	// order is the rest of the current turn through all members.
+	order []string
+}
+
+// NewRoster returns a Roster that knows no other router.
+func NewRoster(self string, seed uint64) *Roster {
+	return &Roster{self: self, random: rand.New(rand.NewPCG(seed, 0)), members: make(map[string]*member)}
+}
+
+// SetListed sets the addresses of routers that may be found there.
+func (r *Roster) SetListed(addresses []string) { r.listed = addresses }
+
+// Hear takes a router's digest; isNew is set when it should be answered at once.
+func (r *Roster) Hear(now time.Time, router Router) (changes []Change, isNew bool) {
+	if router.Name == r.self {
+		return nil, false
+	}
+	m, ok := r.members[router.Name]
+	if !ok {
+		m = &member{silent: true}
+		r.members[router.Name] = m
+	}
+	if ok && router.Incarnation < m.router.Incarnation {
+		return nil, false
+	}
+	isNew = !ok || m.silent || router.Incarnation > m.router.Incarnation
+	changes = m.hear(now, router)
+	return changes, isNew
+}
+
+func (m *member) hear(now time.Time, router Router) []Change {
+	var changes []Change
+	silence := now.Sub(m.heard)
+	if m.silent {
+		if m.heard.IsZero() {
+			silence = 0
+		}
+		changes = append(changes, Change{Router: router, What: "heard", Silence: silence})
+	}
+	if router.Leaving && !m.router.Leaving {
+		changes = append(changes, Change{Router: router, What: "leaving"})
+	}
+	if router.Accepting != m.router.Accepting {
+		what := "not accepting"
+		if router.Accepting {
+			what = "accepting"
+		}
+		changes = append(changes, Change{Router: router, What: what})
+	}
+	m.router, m.heard, m.silent = router, now, false
+	return changes
+}
+
+// Tick finds routers that fell silent, and forgets those that were silent long.
+func (r *Roster) Tick(now time.Time) []Change {
+	var changes []Change
+	patience := r.Patience()
+	for _, name := range r.names() {
+		m := r.members[name]
+		silence := now.Sub(m.heard)
+		if !m.silent && silence > patience {
+			m.silent = true
+			changes = append(changes, Change{Router: m.router, What: "silent", Silence: silence})
+		}
+		if silence > forgetAfter {
+			delete(r.members, name)
+		}
+	}
+	return changes
+}
+
+// Patience is how long a router may be unheard before it counts as silent.
+func (r *Roster) Patience() time.Duration {
+	rounds := (len(r.members) + Fanout - 1) / Fanout
+	return time.Duration(missedRounds*max(rounds, 1)) * RoundInterval
+}
+
+// Live returns the routers that were heard lately, in name order.
+func (r *Roster) Live() []Router {
+	var out []Router
+	for _, name := range r.names() {
+		if m := r.members[name]; !m.silent {
+			out = append(out, m.router)
+		}
+	}
+	return out
+}
+
+// Sharers is the number of routers that may spend from shared budgets, this one
+// included: silent ones may only be cut off from here.
+func (r *Roster) Sharers() int { return len(r.members) + 1 }
+
+// Targets returns the peer addresses for the next round: a part of all members
+// by turns, and the listed addresses that no member has.
+func (r *Roster) Targets() []string {
+	if len(r.order) == 0 {
+		r.order = r.names()
+		r.random.Shuffle(len(r.order), func(i, j int) { r.order[i], r.order[j] = r.order[j], r.order[i] })
+	}
+	n := min(Fanout, len(r.order))
+	var out []string
+	for _, name := range r.order[:n] {
+		if m, ok := r.members[name]; ok {
+			out = append(out, m.router.PeerAddress)
+		}
+	}
+	r.order = r.order[n:]
+	return append(out, r.unheard(Fanout)...)
+}
+
+// Everyone returns the peer addresses of all members.
+func (r *Roster) Everyone() []string {
+	var out []string
+	for _, name := range r.names() {
+		out = append(out, r.members[name].router.PeerAddress)
+	}
+	return out
+}
+
+// unheard returns up to limit listed addresses that no live member has.
+func (r *Roster) unheard(limit int) []string {
+	known := r.Everyone()
+	var out []string
+	for _, address := range r.listed {
+		if !slices.Contains(known, address) && len(out) < limit {
+			out = append(out, address)
+		}
+	}
+	return out
+}
+
+// Newest returns the live router with the newest copy of the platform's
+// records; false when there is none.
+func (r *Roster) Newest() (Router, bool) {
+	live := r.Live()
+	if len(live) == 0 {
+		return Router{}, false
+	}
+	return slices.MaxFunc(live, func(a, b Router) int { return cmp.Compare(a.StateRevision, b.StateRevision) }), true
+}
+
+func (r *Roster) names() []string {
+	names := make([]string, 0, len(r.members))
+	for name := range r.members {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
--- /dev/null
+++ b/internal/placement/prompt.go
@@ -0,0 +1,251 @@
+package placement
+
+import (
+	"container/list"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// PromptPart is one piece of a prompt. A cached piece counts only if all pieces
+// before it are cached too.
+type PromptPart struct {
+	ID     string
+	Tokens int
+}
+
+// holdLifetime is how long a prefix is expected in an engine's cache after its
+// last use; engines evict the least recently used.
+const holdLifetime = 40 * time.Second
+
+// maxHeld bounds the prefixes that are remembered for one engine.
+const maxHeld = 512
+
+// Holdings remembers which prefixes engines are thought to hold. It isn't safe
+// for concurrent use.
+type Holdings struct {
+	engines map[string]*heldPrefixes
+}
+
+// heldPrefixes are the prefixes of one engine, the latest used first.
+type heldPrefixes struct {
+	order  *list.List
+	byHash map[uint64]*list.Element
+}
+
+type heldPrefix struct {
+	hash uint64
+	used time.Time
+}
+
+// NewHoldings returns Holdings that know nothing.
+func NewHoldings() *Holdings { return &Holdings{engines: make(map[string]*heldPrefixes)} }
+
+// PrefixHashes returns for each part the hash of the prefix that ends with it.
+func PrefixHashes(model string, parts []PromptPart) []uint64 {
+	out := make([]uint64, 0, len(parts))
+	h := xxhash.New()
+	_, _ = h.WriteString(model)
+	for _, part := range parts {
+		_, _ = h.Write([]byte{0})
+		_, _ = h.WriteString(part.ID)
+		out = append(out, h.Sum64())
+	}
+	return out
+}
+
+// Note records that an engine has read the prefixes.
+func (h *Holdings) Note(now time.Time, engine string, prefixes []uint64) {
+	held := h.engines[engine]
+	if held == nil {
+		held = &heldPrefixes{order: list.New(), byHash: make(map[uint64]*list.Element)}
+		h.engines[engine] = held
+	}
+	for i := len(prefixes) - 1; i >= 0; i-- {
+		held.note(now, prefixes[i])
+	}
+}
+
+func (p *heldPrefixes) note(now time.Time, hash uint64) {
+	if element, ok := p.byHash[hash]; ok {
+		element.Value.(*heldPrefix).used = now
+		p.order.MoveToFront(element)
+		return
+	}
+	p.byHash[hash] = p.order.PushFront(&heldPrefix{hash: hash, used: now})
+	if p.order.Len() > maxHeld {
+		oldest := p.order.Back()
+		delete(p.byHash, oldest.Value.(*heldPrefix).hash)
+		p.order.Remove(oldest)
+	}
+}
+
+// Forget drops an engine that lost its cache.
+func (h *Holdings) Forget(engine string) { delete(h.engines, engine) }
+
+// Depth returns how many of the leading prefixes an engine holds.
+func (h *Holdings) Depth(now time.Time, engine string, prefixes []uint64) int {
+	held := h.engines[engine]
+	if held == nil {
+		return 0
+	}
+	for depth, prefix := range prefixes {
+		element, ok := held.byHash[prefix]
+		if !ok || now.Sub(element.Value.(*heldPrefix).used) > holdLifetime {
+			return depth
+		}
+	}
+	return len(prefixes)
+}
+
+// PromptCandidate is an engine with what decides about it.
+type PromptCandidate struct {
+	Name string
+	// Load is the number of calls that it holds.
+	Load int
+	// Depth is the number of leading parts that it holds.
+	Depth int
+	// Reading is the number of tokens that it was given to read lately and may
+	// not have read yet.
+	Reading int
+	// Degraded engines are taken when no other has room.
+	Degraded bool
+}
+
+// PromptSettings weigh cached parts against load.
+type PromptSettings struct {
+	// BoundFactor and BoundExtra are the most load that an engine may have,
+	// relative to the mean of all, and besides.
+	BoundFactor float64
+	BoundExtra  float64
+	// HomeFactor and HomeExtra are the same for an engine that holds nothing of
+	// the prompt: what is read anew can be read where there is room.
+	HomeFactor float64
+	HomeExtra  float64
+	// LoadTokens is the number of tokens to read that one more call at an engine
+	// outweighs.
+	LoadTokens float64
+}
+
+// DefaultPromptSettings returns the weights that daemons use.
+func DefaultPromptSettings() PromptSettings {
+	return PromptSettings{BoundFactor: 1.6, BoundExtra: 2, HomeFactor: 1.25, HomeExtra: 1, LoadTokens: 60}
+}
+
+// PromptChoice is the decision about one prompt.
+type PromptChoice struct {
+	// Index is the chosen candidate, -1 when there is none.
+	Index int
+	// Source is the candidate to fetch cached parts from, -1 for none.
+	Source int
+	// Mean is the mean load that the bound was taken from.
+	Mean float64
+	// Unread is the number of shared tokens that the chosen engine has to read.
+	Unread int
+}
+
+// ChoosePrompt picks the engine for a prompt with shared parts: the one with
+// the least left to read among those under the bound. Engines that hold
+// equally much are tried in the rendezvous order of the last shared part, so
+// that all routers agree on where a new prefix goes.
+func ChoosePrompt(s PromptSettings, parts []PromptPart, candidates []PromptCandidate) PromptChoice {
+	choice := PromptChoice{Index: -1, Source: -1}
+	if len(candidates) == 0 {
+		return choice
+	}
+	choice.Mean = meanLoad(candidates)
+	var key uint64
+	if len(parts) > 0 {
+		key = Key(parts[len(parts)-1].ID)
+	}
+	best := scoredEngine{index: -1}
+	for i, c := range candidates {
+		e := score(s, parts, c, choice.Mean, key)
+		e.index = i
+		if best.index < 0 || e.better(best) {
+			best = e
+		}
+	}
+	choice.Index = best.index
+	choice.Unread = unread(parts, candidates[best.index].Depth)
+	choice.Source = source(parts, candidates, best.index)
+	return choice
+}
+
+func meanLoad(candidates []PromptCandidate) float64 {
+	total := 0
+	for _, c := range candidates {
+		total += c.Load
+	}
+	return float64(total+1) / float64(len(candidates))
+}
+
+// unread is the number of tokens in the parts after a depth.
+func unread(parts []PromptPart, depth int) int {
+	tokens := 0
+	for _, part := range parts[min(depth, len(parts)):] {
+		tokens += part.Tokens
+	}
+	return tokens
+}
+
+// scoredEngine orders candidates: those under their bound first, then the least
+// cost, then the rendezvous order.
+type scoredEngine struct {
+	index    int
+	degraded bool
+	over     bool
+	cost     float64
+	affinity float64
+}
+
+func score(s PromptSettings, parts []PromptPart, c PromptCandidate, mean float64, key uint64) scoredEngine {
+	factor, extra := s.HomeFactor, s.HomeExtra
+	if c.Depth > 0 && c.Depth == len(parts) {
+		factor, extra = s.BoundFactor, s.BoundExtra
+	}
+	bound := factor*mean + extra
+	over := float64(c.Load+1) > bound
+	cost := float64(unread(parts, c.Depth)+c.Reading) + s.LoadTokens*max(0, float64(c.Load)-mean)
+	if over {
+		// Beyond the bound, evenness alone counts.
+		cost = float64(c.Load)
+	}
+	return scoredEngine{degraded: c.Degraded, over: over, cost: cost, affinity: rendezvousScore(key, c.Name, 1)}
+}
+
+// costStep is the difference in cost, in tokens, below which the rendezvous
+// order decides.
+const costStep = 256
+
+func (e scoredEngine) better(other scoredEngine) bool {
+	if e.over != other.over {
+		return !e.over
+	}
+	if e.degraded != other.degraded {
+		return !e.degraded
+	}
+	if e.over {
+		return e.cost < other.cost || e.cost == other.cost && e.affinity > other.affinity
+	}
+	a, b := int(e.cost)/costStep, int(other.cost)/costStep
+	return a < b || a == b && e.affinity > other.affinity
+}
+
+// source returns the candidate that holds the most of the parts beyond the
+// chosen one, -1 for none. Of equals, the least loaded one is taken.
+func source(parts []PromptPart, candidates []PromptCandidate, chosen int) int {
+	found, depth := -1, candidates[chosen].Depth
+	for i, c := range candidates {
+		if i == chosen || c.Depth <= depth {
+			continue
+		}
+		if found >= 0 && c.Depth == candidates[found].Depth && c.Load >= candidates[found].Load {
+			continue
+		}
+		if found < 0 || c.Depth >= candidates[found].Depth {
+			found = i
+		}
+	}
+	return found
+}
--- a/internal/refusal/refusal.go
+++ b/internal/refusal/refusal.go
@@ -57,6 +57,8 @@
 	InternalError      Kind = "internal_error"
 	OwnerBusy          Kind = "over_bound"
 	AboveMean          Kind = "above_mean"
+	UnknownRoute       Kind = "unknown_route"
+	UnknownKey         Kind = "unknown_key"
 )
 
 // Refusal ends a request without a whole answer. It is an error.
@@ -122,6 +124,8 @@
 	UnknownWorkspace:   http.StatusForbidden,
 	UnknownModel:       http.StatusNotFound,
 	UnknownService:     http.StatusNotFound,
+	UnknownRoute:       http.StatusNotFound,
+	UnknownKey:         http.StatusUnauthorized,
 	NoMatchingUpstream: http.StatusForbidden,
 	Overloaded:         http.StatusTooManyRequests,
 	OwnerBusy:          http.StatusTooManyRequests,
--- /dev/null
+++ b/internal/routing/routing.go
@@ -0,0 +1,203 @@
+// Package routing holds the compiled routes of one configuration revision: which
+// service a call goes to, what may be repeated, and who may call. It is pure
+// and a Table is immutable.
+package routing
+
+import (
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
+)
+
+// Errors that refuse a call for good.
+var (
+	// ErrNoRoute means that no route matches host and path.
+	ErrNoRoute = errors.New("no route matches the host and path: check the address, or add a route")
+	// ErrUnknownKey means that the call needs a key that a workspace holds.
+	ErrUnknownKey = errors.New("the key belongs to no workspace: use a key of the configuration in force")
+)
+
+// Kind says what may be repeated.
+type Kind int
+
+// Kinds of route.
+const (
+	// NonIdempotent calls run at most once.
+	NonIdempotent Kind = iota
+	// Idempotent calls may run more than once.
+	Idempotent
+	// Streaming calls are answered by a series of events.
+	Streaming
+)
+
+// String returns the kind as logs write it.
+func (k Kind) String() string {
+	switch k {
+	case Idempotent:
+		return "idempotent"
+	case Streaming:
+		return "streaming"
+	default:
+		return "non-idempotent"
+	}
+}
+
+// Target is one service of a route with its share of the calls.
+type Target struct {
+	Service string
+	Weight  int
+}
+
+// Route is one rule from host and path to services.
+type Route struct {
+	Name   string
+	Host   string
+	Prefix string
+	Kind   Kind
+	// Resumable streams may go on at another instance after the last event.
+	Resumable bool
+	// Timeout is the longest time that a call may take; zero for none.
+	Timeout time.Duration
+	// Objective is the time within which an answer has its full worth.
+	Objective time.Duration
+	// GapObjective is the longest pause between events of a stream that is on
+	// time.
+	GapObjective time.Duration
+	// Priority is the rank, zero first.
+	Priority int
+	// MaxAttempts bounds the instances that one call is sent to.
+	MaxAttempts int
+	Anonymous   bool
+	Targets     []Target
+}
+
+// Repeatable reports whether a call may run more than once.
+func (r *Route) Repeatable() bool {
+	return r.Kind == Idempotent || r.Kind == Streaming && r.Resumable
+}
+
+// Service picks the service of a call by its key, in proportion to the weights.
+// Calls with equal keys go to the same service.
+func (r *Route) Service(key string) string {
+	total := 0
+	for _, t := range r.Targets {
+		total += max(t.Weight, 0)
+	}
+	if total == 0 || len(r.Targets) == 1 {
+		return r.Targets[0].Service
+	}
+	point := int(xxhash.Sum64String(key) % uint64(total))
+	for _, t := range r.Targets {
+		point -= max(t.Weight, 0)
+		if point < 0 {
+			return t.Service
+		}
+	}
+	return r.Targets[len(r.Targets)-1].Service
+}
+
+// Service is one group of interchangeable instances.
+type Service struct {
+	Name string
+	// MaxConnections bounds the connections that an instance accepts from all
+	// routers together; zero when unknown.
+	MaxConnections int
+	// Model is set for services of model engines.
+	Model bool
+}
+
+// Workspace is one customer.
+type Workspace struct {
+	Name string
+	// Priority goes before a route's; nil when the workspace has none.
+	Priority *int
+}
+
+// Limits bound what callers may send.
+type Limits struct {
+	MaxHeaderBytes int
+	MaxBodyBytes   int
+	HeaderTimeout  time.Duration
+	IdleTimeout    time.Duration
+}
+
+// Options are the parts of a Table.
+type Options struct {
+	Revision int64
+	Routes   []*Route
+	Services []*Service
+	// Keys maps a secret to its workspace.
+	Keys map[string]*Workspace
+	// KeysRequired is set when calls need a key, but for anonymous routes.
+	KeysRequired bool
+	Limits       Limits
+}
+
+// Table is one configuration revision. It is immutable.
+type Table struct {
+	Revision     int64
+	Limits       Limits
+	keysRequired bool
+	keys         map[string]*Workspace
+	services     map[string]*Service
+	// routes maps a host to its routes by prefix.
+	routes map[string]map[string]*Route
+}
+
+// NewTable compiles a revision.
+func NewTable(o Options) *Table {
+	t := &Table{
+		Revision: o.Revision, Limits: o.Limits, keysRequired: o.KeysRequired, keys: o.Keys,
+		services: make(map[string]*Service, len(o.Services)),
+		routes:   make(map[string]map[string]*Route),
+	}
+	for _, s := range o.Services {
+		t.services[s.Name] = s
+	}
+	for _, r := range o.Routes {
+		host := strings.ToLower(r.Host)
+		if t.routes[host] == nil {
+			t.routes[host] = make(map[string]*Route)
+		}
+		t.routes[host][r.Prefix] = r
+	}
+	return t
+}
+
+// Service returns a service by name, nil when the revision has none.
+func (t *Table) Service(name string) *Service { return t.services[name] }
+
+// Match returns the route with the longest prefix of a path; its error is
+// ErrNoRoute. Prefixes begin and end with a slash.
+func (t *Table) Match(host, path string) (*Route, error) {
+	prefixes := t.routes[strings.ToLower(host)]
+	for end := strings.LastIndexByte(path, '/'); end >= 0 && len(prefixes) > 0; {
+		if r, ok := prefixes[path[:end+1]]; ok {
+			return r, nil
+		}
+		end = strings.LastIndexByte(path[:end], '/')
+	}
+	return nil, ErrNoRoute
+}
+
+// Workspace returns who calls a route with a key; its error is ErrUnknownKey.
+// It is nil for anonymous calls.
+func (t *Table) Workspace(r *Route, key string) (*Workspace, error) {
+	if w, ok := t.keys[key]; ok && key != "" {
+		return w, nil
+	}
+	if r.Anonymous || !t.keysRequired {
+		return nil, nil
+	}
+	return nil, ErrUnknownKey
+}
+
+// Priority returns the rank of a workspace's calls on a route.
+func Priority(r *Route, w *Workspace) int {
+	if w != nil && w.Priority != nil {
+		return *w.Priority
+	}
+	return r.Priority
+}
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -4,9 +4,12 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
 	"os"
+	"slices"
+	"strings"
 
 	"github.com/pkg/errors"
 	"github.com/rcrowley/go-metrics"
@@ -88,3 +91,38 @@
 		_ = json.NewEncoder(w).Encode(registry.GetAll())
 	})
 }
+
+// quantiles are the parts of a histogram that TextHandler shows.
+var quantiles = []float64{0.5, 0.95, 0.99}
+
+// TextHandler serves a registry as lines of a name and a value; histograms have
+// a line for their count and one for each quantile.
+func TextHandler(registry metrics.Registry) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+		var lines []string
+		registry.Each(func(name string, metric any) { lines = append(lines, textLines(name, metric)...) })
+		slices.Sort(lines)
+		// A reader that has gone needs no answer.
+		_, _ = io.WriteString(w, strings.Join(lines, "\n")+"\n")
+	})
+}
+
+func textLines(name string, metric any) []string {
+	name = strings.NewReplacer(".", "_", "-", "_").Replace(name)
+	switch m := metric.(type) {
+	case metrics.Counter:
+		return []string{fmt.Sprintf("%s %d", name, m.Count())}
+	case metrics.Gauge:
+		return []string{fmt.Sprintf("%s %d", name, m.Value())}
+	case metrics.Histogram:
+		sample := m.Snapshot()
+		lines := []string{fmt.Sprintf("%s_count %d", name, sample.Count())}
+		for i, value := range sample.Percentiles(quantiles) {
+			lines = append(lines, fmt.Sprintf("%s{quantile=%q} %.0f", name, fmt.Sprint(quantiles[i]), value))
+		}
+		return lines
+	default:
+		return nil
+	}
+}
