Edge: the store is asked for its revision when no confirmation is fresh

Ruled out: stale reads (lists are linearizable), lost events (the next list had them). Change: a router reads its own record once a second at most when neither it nor another router has done so lately, and reads everything again when the store is ahead; digests tell the age of the last confirmation.

--- a/internal/edge/control.go
+++ b/internal/edge/control.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -61,6 +62,9 @@
 	// behindSince is when another router was first seen to be ahead.
 	behindSince time.Time
 	problems    []string
+	freshness   mirror.Freshness
+	// confirmedRevision is the store's revision at the last confirmation.
+	confirmedRevision int64
 }
 
 type pendingStrike struct {
@@ -97,6 +101,7 @@
 	c.rosterChanged(c.roster.Tick(now))
 	c.send(c.roster.Targets())
 	c.catchUp(now)
+	c.confirm(now)
 }
 
 func (c *control) send(to []string) {
@@ -120,6 +125,7 @@
 	d := &peerpb.Digest{
 		CallerAddress: s.CallerAddress, PeerAddress: s.PeerAddress, FailureDomain: s.FailureDomain,
 		Accepting: c.edge.Ready(), Leaving: c.edge.leaving.Load(), StateRevision: c.mirror.Revision(),
+		ConfirmedAgeMs: uint32(min(c.freshness.Age(time.Now()).Milliseconds(), math.MaxUint32)),
 	}
 	d.Loads, d.Held = c.edge.balancer.Digest()
 	return d
@@ -148,6 +154,7 @@
 	changes, isNew := c.roster.Hear(now, d.received.Router)
 	c.rosterChanged(changes)
 	c.edge.balancer.HearPeer(d.received.Router.Name, d.received.Digest)
+	c.hearConfirmation(now, d.received)
 	for _, strike := range d.received.Strikes {
 		if c.edge.balancer.HearStrike(strike) {
 			c.edge.options.Log.Decision("strike heard", decisionlog.Fields{
@@ -166,7 +173,11 @@
 // not bring them.
 func (c *control) catchUp(now time.Time) {
 	newest, ok := c.roster.Newest()
-	if !ok || newest.StateRevision <= c.mirror.Revision() {
+	known := c.confirmedRevision
+	if ok {
+		known = max(known, newest.StateRevision)
+	}
+	if known <= c.mirror.Revision() {
 		c.behindSince = time.Time{}
 		return
 	}
@@ -177,14 +188,24 @@
 	if !waited || c.fetching || now.Sub(c.fetched) < fetchPause {
 		return
 	}
-	c.fetching, c.fetched = true, now
-	c.interruptWatch()
-	go c.edge.fetch(newest.Name, newest.PeerAddress, c.mirror.Revision())
+	c.fetched = now
+	c.keptBack(now, known)
+	if ok && newest.StateRevision > c.mirror.Revision() {
+		c.fetching = true
+		go c.edge.fetch(newest.Name, newest.PeerAddress, c.mirror.Revision())
+	}
 }
 
-// interruptWatch makes the store's watch start again: its connection may have
-// gone silent.
-func (c *control) interruptWatch() {
+// keptBack makes the follower read everything again: its watch keeps changes
+// back, or its connection has gone silent.
+func (c *control) keptBack(now time.Time, known int64) {
+	if !c.storeUp {
+		return
+	}
+	c.freshness.KeptBack(now)
+	c.edge.options.Log.Decision("watch is behind", decisionlog.Fields{
+		"revision": c.mirror.Revision(), "known": known, "behind_ms": now.Sub(c.behindSince).Milliseconds(),
+	})
 	select {
 	case c.edge.resync <- struct{}{}:
 	default:
@@ -222,6 +243,7 @@
 	if c.mirror.Replace(entries, s.response.GetRevision()) {
 		c.publish(now)
 	}
+	c.behindSince = time.Time{}
 }
 
 func (s storeUpdate) apply(c *control, now time.Time) {
@@ -233,6 +255,7 @@
 	c.storeBack()
 	changed := false
 	if u.Full {
+		c.freshness.Confirmed(now)
 		changed = c.mirror.Replace(u.Entries, u.Revision)
 	} else {
 		changed = c.mirror.Apply(u.Events, u.Revision)
--- a/internal/mirror/follower.go
+++ b/internal/mirror/follower.go
@@ -43,8 +43,8 @@
 	After func() int64
 }
 
-// Run follows the store until the context ends. Reset interrupts a watch that
-// others have found to be behind.
+// Run follows the store until the context ends. Reset ends a watch that was
+// found to keep changes back, and reads everything again.
 func (f *Follower) Run(ctx context.Context, reset <-chan struct{}) error {
 	failures := 0
 	listed := false
@@ -61,10 +61,7 @@
 		if healthy {
 			failures = 0
 		}
-		if err == nil {
-			continue
-		}
-		if errors.Is(err, kv.ErrCompacted) {
+		if err == nil || errors.Is(err, kv.ErrCompacted) {
 			listed = false
 			continue
 		}
--- /dev/null
+++ b/internal/mirror/freshness.go
@@ -0,0 +1,54 @@
+package mirror
+
+import "time"
+
+const (
+	// confirmAfter is the age of the last confirmation at which a router asks
+	// the store again. With a round of digests and a list, a change that a watch
+	// keeps back is in force well within two seconds.
+	confirmAfter = 900 * time.Millisecond
+	// distrustedAfter is the same while watches are known to keep changes back.
+	distrustedAfter = 450 * time.Millisecond
+	// distrustTime is how long a watch is distrusted after it kept back a change.
+	distrustTime = 15 * time.Second
+	// JitterBound spreads the routers' calls, so that mostly one of them asks
+	// and the others hear of it.
+	JitterBound = 300 * time.Millisecond
+)
+
+// Freshness decides when the store must be asked whether a copy of its records
+// is complete. A watch alone doesn't tell: one that keeps changes back looks
+// like one without changes. It is pure, and not safe for concurrent use.
+type Freshness struct {
+	confirmed     time.Time
+	distrustUntil time.Time
+	asked         time.Time
+}
+
+// Confirmed tells that a copy was complete at a moment.
+func (f *Freshness) Confirmed(at time.Time) {
+	if at.After(f.confirmed) {
+		f.confirmed = at
+	}
+}
+
+// KeptBack tells that a watch kept back a change.
+func (f *Freshness) KeptBack(now time.Time) { f.distrustUntil = now.Add(distrustTime) }
+
+// Age returns the time since the copy was last known to be complete.
+func (f *Freshness) Age(now time.Time) time.Duration { return now.Sub(f.confirmed) }
+
+// Due reports whether to ask the store now, and notes that it is asked. Jitter
+// is a random time below JitterBound.
+func (f *Freshness) Due(now time.Time, jitter time.Duration) bool {
+	patience := confirmAfter
+	if now.Before(f.distrustUntil) {
+		patience = distrustedAfter
+	}
+	patience += jitter
+	if f.Age(now) < patience || now.Sub(f.asked) < patience {
+		return false
+	}
+	f.asked = now
+	return true
+}
