Edge: two routers follow the store; holdings by part, recovered at a start

Change: the two routers that go first follow the store and pass changes on, in datagrams where they fit; others fetch deltas. Holdings count parts, come with a peer's records at a start, and from the engines' own lists after a loss of power. Parts are fetched from leaving engines too.

--- a/cmd/vt-edge/main.go
+++ b/cmd/vt-edge/main.go
@@ -42,7 +42,7 @@
 	log := decisionlog.New(os.Stdout, logrus.InfoLevel, registry)
 	router, err := edge.New(edge.Options{
 		Settings: boot.Edge, Store: platform.NewStore(boot.StoreAddress), Provider: platform.NewRecords(boot.Edge.Name),
-		Codec: platform.Codec{}, Handlers: platform.Handlers(boot.Edge.AddressLifetime), Log: log, Registry: registry,
+		Codec: platform.Codec{}, Inventory: platform.NewInventory(), Handlers: platform.Handlers(boot.Edge.AddressLifetime), Log: log, Registry: registry,
 	})
 	if err != nil {
 		return err
--- a/internal/dispatch/balancer.go
+++ b/internal/dispatch/balancer.go
@@ -4,7 +4,6 @@
 package dispatch
 
 import (
-	"slices"
 	"sync"
 	"time"
 
@@ -48,7 +47,7 @@
 	routers  int
 	// names maps hashes of listed instances to their IDs.
 	names map[uint32]string
-	// news are the prefixes that were read lately.
+	// news are the parts that were read lately.
 	news []readNews
 }
 
@@ -74,7 +73,7 @@
 	state    instances.State
 	// fetchFrom is the address of an instance that holds more of the prompt.
 	fetchFrom string
-	prefixes  []uint64
+	parts     []uint64
 	// unread is the number of shared tokens that the instance has to read.
 	unread int
 	load   int
@@ -95,7 +94,7 @@
 	}
 	var p pick
 	if len(c.Prompt.Parts) > 0 {
-		p = b.chooseByPrompt(now, c, candidates)
+		p = b.chooseByPrompt(now, c, service, candidates)
 	} else {
 		p = b.chooseByLoad(now, c, candidates)
 	}
@@ -105,28 +104,37 @@
 	return p, true
 }
 
-func (b *Balancer) chooseByPrompt(now time.Time, c *call.Call, candidates []instances.Candidate) pick {
+func (b *Balancer) chooseByPrompt(now time.Time, c *call.Call, service string, candidates []instances.Candidate) pick {
 	shared := c.Prompt.Shared()
 	parts := make([]placement.PromptPart, 0, len(shared))
 	for _, part := range shared {
 		parts = append(parts, placement.PromptPart{ID: part.ID, Tokens: part.Tokens})
 	}
-	prefixes := placement.PrefixHashes(c.Prompt.Model, parts)
-	scored := make([]placement.PromptCandidate, 0, len(candidates))
+	hashes := placement.PartHashes(c.Prompt.Model, parts)
+	leaving := b.registry.Leaving(now, service)
+	scored := make([]placement.PromptCandidate, 0, len(candidates)+len(leaving))
 	for _, candidate := range candidates {
 		scored = append(scored, placement.PromptCandidate{
 			Name: candidate.ID, Load: b.loads.Load(now, candidate.ID),
-			Depth: b.holdings.Depth(now, candidate.ID, prefixes), Reading: b.reading[candidate.ID],
+			Depth: b.holdings.Depth(now, candidate.ID, hashes), Reading: b.reading[candidate.ID],
 			Degraded: candidate.State == instances.Degraded,
 		})
 	}
+	for _, i := range leaving {
+		scored = append(scored, placement.PromptCandidate{
+			Name: i.ID, Depth: b.holdings.Depth(now, i.ID, hashes), SourceOnly: true,
+		})
+	}
 	choice := placement.ChoosePrompt(placement.DefaultPromptSettings(), parts, scored)
 	chosen := candidates[choice.Index]
 	p := pick{
-		instance: chosen.Instance, state: chosen.State, prefixes: prefixes, unread: choice.Unread,
+		instance: chosen.Instance, state: chosen.State, parts: hashes, unread: choice.Unread,
 		load: scored[choice.Index].Load, mean: choice.Mean,
 	}
-	if choice.Source >= 0 {
+	switch {
+	case choice.Source >= len(candidates):
+		p.fetchFrom = leaving[choice.Source-len(candidates)].Address
+	case choice.Source >= 0:
 		p.fetchFrom = candidates[choice.Source].Address
 	}
 	return p
@@ -162,13 +170,12 @@
 	defer b.mu.Unlock()
 	b.doneReading(*p)
 	p.unread = 0
-	if len(p.prefixes) == 0 {
+	now := b.options.Now()
+	if len(p.parts) == 0 || !b.holdings.Note(now, p.instance.ID, p.parts) {
 		return
 	}
-	now := b.options.Now()
-	b.holdings.Note(now, p.instance.ID, p.prefixes)
-	for _, prefix := range p.prefixes {
-		b.news = append(b.news, readNews{at: now, instance: p.instance.ID, prefix: prefix})
+	for _, part := range p.parts {
+		b.news = append(b.news, readNews{at: now, instance: p.instance.ID, part: part})
 	}
 }
 
@@ -270,49 +277,9 @@
 		counts[l.GetInstance()] = int(l.GetInFlight())
 	}
 	b.mu.Lock()
-	defer b.mu.Unlock()
-	now := b.options.Now()
-	b.loads.HearPeer(now, name, counts)
-	for _, h := range d.GetHeld() {
-		if id, ok := b.names[h.GetInstance()]; ok {
-			b.holdings.Note(now, id, []uint64{h.GetPrefix()})
-		}
-	}
-}
-
-// maxDigestLoads and maxDigestHeld keep a digest within one datagram.
-const (
-	maxDigestLoads = 60
-	maxDigestHeld  = 50
-	// heldRepeat is how long a prefix that an instance has read is told: a few
-	// rounds, since datagrams may be lost.
-	heldRepeat = time.Second
-)
-
-// Digest returns what other routers are told of this one's calls.
-func (b *Balancer) Digest() ([]*peerpb.InstanceLoad, []*peerpb.HeldPrefix) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	var loads []*peerpb.InstanceLoad
-	for id, n := range b.loads.Own() {
-		if len(loads) < maxDigestLoads {
-			loads = append(loads, &peerpb.InstanceLoad{Instance: loadshare.Hash(id), InFlight: uint32(n)})
-		}
-	}
-	oldest := b.options.Now().Add(-heldRepeat)
-	b.news = slices.DeleteFunc(b.news, func(n readNews) bool { return n.at.Before(oldest) })
-	var held []*peerpb.HeldPrefix
-	for i := len(b.news) - 1; i >= 0 && len(held) < maxDigestHeld; i-- {
-		held = append(held, &peerpb.HeldPrefix{Instance: loadshare.Hash(b.news[i].instance), Prefix: b.news[i].prefix})
-	}
-	return loads, held
-}
-
-// readNews is a prefix that an instance has read for this router.
-type readNews struct {
-	at       time.Time
-	instance string
-	prefix   uint64
+	b.loads.HearPeer(b.options.Now(), name, counts)
+	b.mu.Unlock()
+	b.HearHeld(d.GetHeld())
 }
 
 // ForgetPeer drops the loads of a router that has gone.
@@ -349,7 +316,7 @@
 		b.registry.ListingBack(b.options.Now())
 		return
 	}
-	b.registry.ListingLost()
+	b.registry.ListingLost(b.options.Now())
 }
 
 // Tick ends time spans; call it a few times a second.
--- /dev/null
+++ b/internal/dispatch/holdings.go
@@ -0,0 +1,91 @@
+package dispatch
+
+import (
+	"slices"
+	"time"
+
+	"github.com/verbenatrail/verbenatrail/internal/instances"
+	"github.com/verbenatrail/verbenatrail/internal/loadshare"
+	"github.com/verbenatrail/verbenatrail/internal/peerpb"
+)
+
+// maxDigestLoads and maxDigestHeld keep a digest within one datagram.
+const (
+	maxDigestLoads = 60
+	maxDigestHeld  = 50
+	// heldRepeat is how long a part that an instance has read is told: a few
+	// rounds, since datagrams may be lost.
+	heldRepeat = time.Second
+)
+
+// readNews is a part that an instance has read for this router.
+type readNews struct {
+	at       time.Time
+	instance string
+	part     uint64
+}
+
+// Digest returns what other routers are told of this one's calls.
+func (b *Balancer) Digest() ([]*peerpb.InstanceLoad, []*peerpb.HeldPart) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var loads []*peerpb.InstanceLoad
+	for id, n := range b.loads.Own() {
+		if len(loads) < maxDigestLoads {
+			loads = append(loads, &peerpb.InstanceLoad{Instance: loadshare.Hash(id), InFlight: uint32(n)})
+		}
+	}
+	oldest := b.options.Now().Add(-heldRepeat)
+	b.news = slices.DeleteFunc(b.news, func(n readNews) bool { return n.at.Before(oldest) })
+	var held []*peerpb.HeldPart
+	for i := len(b.news) - 1; i >= 0 && len(held) < maxDigestHeld; i-- {
+		held = append(held, &peerpb.HeldPart{Instance: loadshare.Hash(b.news[i].instance), Part: b.news[i].part})
+	}
+	return loads, held
+}
+
+// Held returns all parts that instances are thought to hold.
+func (b *Balancer) Held() []*peerpb.HeldPart {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var held []*peerpb.HeldPart
+	b.holdings.All(b.options.Now(), func(engine string, part uint64) {
+		held = append(held, &peerpb.HeldPart{Instance: loadshare.Hash(engine), Part: part})
+	})
+	return held
+}
+
+// HearHeld takes another router's word on what instances hold.
+func (b *Balancer) HearHeld(held []*peerpb.HeldPart) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.options.Now()
+	for _, h := range held {
+		if id, ok := b.names[h.GetInstance()]; ok {
+			b.holdings.Note(now, id, []uint64{h.GetPart()})
+		}
+	}
+}
+
+// NoteHeld takes an instance's own list of the parts that it holds.
+func (b *Balancer) NoteHeld(instance string, parts []uint64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.holdings.Note(b.options.Now(), instance, parts)
+}
+
+// UnknownHoldings returns the instances of some services of which nothing is
+// known that they hold, in ID order.
+func (b *Balancer) UnknownHoldings(services []string) []instances.Instance {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var out []instances.Instance
+	for _, service := range services {
+		for _, c := range b.registry.Candidates(b.options.Now(), service, nil) {
+			if !b.holdings.Known(c.ID) {
+				out = append(out, c.Instance)
+			}
+		}
+	}
+	return out
+}
--- a/internal/edge/confirm.go
+++ b/internal/edge/confirm.go
@@ -7,7 +7,6 @@
 
 	"github.com/verbenatrail/verbenatrail/internal/decisionlog"
 	"github.com/verbenatrail/verbenatrail/internal/mirror"
-	"github.com/verbenatrail/verbenatrail/internal/peering"
 )
 
 // storeConfirmed is the store's answer to the question how far it is.
@@ -23,7 +22,7 @@
 // confirm asks the store whether the copy of its records is complete, when
 // neither this router nor another has done so lately.
 func (c *control) confirm(now time.Time) {
-	if c.mirror.Revision() == 0 || !c.freshness.Due(now, rand.N(mirror.JitterBound)) {
+	if c.mirror.Revision() == 0 || !c.records.freshness.Due(now, c.follow.healthy(), rand.N(mirror.JitterBound)) {
 		return
 	}
 	go c.edge.askRevision(now)
@@ -44,18 +43,22 @@
 		c.edge.options.Log.Detail("revision not confirmed", decisionlog.Fields{"error": s.err.Error()})
 		return
 	}
-	c.confirmedRevision = max(c.confirmedRevision, s.revision)
+	c.records.confirmedRevision = max(c.records.confirmedRevision, s.revision)
 	if s.revision <= c.mirror.Revision() {
-		c.freshness.Confirmed(s.asked)
+		c.records.freshness.Confirmed(s.asked)
 		return
 	}
+	if !c.follow.healthy() {
+		c.startFollowingNow()
+	}
 	c.catchUp(now)
 }
 
-// hearConfirmation takes another router's word that a copy was complete.
-func (c *control) hearConfirmation(now time.Time, r peering.Received) {
-	if r.Router.StateRevision > c.mirror.Revision() {
-		return
+// startFollowingNow follows the store although others say that they do: they
+// have not passed on what it holds.
+func (c *control) startFollowingNow() {
+	if c.follow.stop == nil {
+		others, _ := c.roster.Followers()
+		c.startFollowing(others)
 	}
-	c.freshness.Confirmed(now.Add(-time.Duration(r.Digest.GetConfirmedAgeMs()) * time.Millisecond))
 }
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -16,7 +16,6 @@
 	"github.com/verbenatrail/verbenatrail/internal/dispatch"
 	"github.com/verbenatrail/verbenatrail/internal/ingress"
 	"github.com/verbenatrail/verbenatrail/internal/kv"
-	"github.com/verbenatrail/verbenatrail/internal/mirror"
 	"github.com/verbenatrail/verbenatrail/internal/peering"
 	"github.com/verbenatrail/verbenatrail/internal/peerpb"
 	"github.com/verbenatrail/verbenatrail/internal/routing"
@@ -30,6 +29,8 @@
 	Store    kv.Store
 	Provider Provider
 	Codec    Codec
+	// Inventory asks instances what they hold.
+	Inventory Inventory
 	// Handlers serves the readiness and directory addresses.
 	Handlers func(*Edge) (ready, directory http.Handler)
 	Log      *decisionlog.Log
@@ -46,8 +47,6 @@
 
 	table   atomic.Pointer[routing.Table]
 	routers atomic.Pointer[[]peering.Router]
-	// records is the newest copy of the platform's records, for other routers.
-	records atomic.Pointer[peerpb.StateResponse]
 	leaving atomic.Bool
 
 	commands chan command
@@ -78,7 +77,6 @@
 		Codec: o.Codec, Dispatcher: dispatcher, Table: e.table.Load, Log: o.Log, Registry: o.Registry,
 	})
 	e.routers.Store(&[]peering.Router{})
-	e.records.Store(&peerpb.StateResponse{})
 	return e, nil
 }
 
@@ -138,14 +136,8 @@
 
 // startControl starts what follows the platform and the other routers.
 func (e *Edge) startControl(ctx context.Context, group *errgroup.Group) {
-	c := newControl(e)
-	follower := &mirror.Follower{
-		Store:   e.options.Store,
-		Deliver: func(u mirror.Update) { e.deliver(ctx, storeUpdate{update: u}) },
-		After:   func() int64 { return e.records.Load().GetRevision() },
-	}
-	group.Go(func() error { return c.run(ctx) })
-	group.Go(func() error { return follower.Run(ctx, e.resync) })
+	c := newControl(ctx, e)
+	group.Go(c.run)
 	group.Go(func() error { return e.register(ctx) })
 	group.Go(func() error {
 		return e.link.Receive(ctx, func(r peering.Received) { e.post(digestReceived{received: r}) })
@@ -163,15 +155,6 @@
 	}
 }
 
-// stateFor returns the records for a router that has a revision.
-func (e *Edge) stateFor(have int64) *peerpb.StateResponse {
-	records := e.records.Load()
-	if records.GetRevision() <= have {
-		return &peerpb.StateResponse{}
-	}
-	return records
-}
-
 // listeners are the addresses that a router serves.
 type listeners struct{ callers, ready, directory, metrics net.Listener }
 
--- a/internal/edge/provider.go
+++ b/internal/edge/provider.go
@@ -53,6 +53,8 @@
 	MetricsAddress   string
 	// Seeds are peer addresses at which other routers may be found.
 	Seeds []string
+	// FirstStart is set when the whole system starts for the first time.
+	FirstStart bool
 	// GracePeriod is the time from the request to stop until the process is
 	// killed.
 	GracePeriod time.Duration
--- a/internal/instances/instances.go
+++ b/internal/instances/instances.go
@@ -83,6 +83,9 @@
 	// outageShadow is how long after the listing's return a removal may still
 	// stem from the outage.
 	outageShadow = 2500 * time.Millisecond
+	// leastOutage is the shortest outage in which entries lapse: the platform
+	// removes them after three missed heartbeats.
+	leastOutage = 1500 * time.Millisecond
 )
 
 // Candidate is an instance that may take work now.
@@ -118,8 +121,10 @@
 	entries map[string]*entry
 	// listingLost is set while the listing can't be read.
 	listingLost bool
-	returned    time.Time
-	services    map[string][]*entry
+	lostAt      time.Time
+	// returned is the end of the last outage in which entries may have lapsed.
+	returned time.Time
+	services map[string][]*entry
 }
 
 // New returns an empty Registry.
@@ -128,14 +133,18 @@
 }
 
 // ListingLost tells that the listing can't be read.
-func (r *Registry) ListingLost() { r.listingLost = true }
+func (r *Registry) ListingLost(now time.Time) {
+	if !r.listingLost {
+		r.listingLost, r.lostAt = true, now
+	}
+}
 
 // ListingBack tells that the listing can be read again.
 func (r *Registry) ListingBack(now time.Time) {
-	if r.listingLost {
-		r.listingLost = false
+	if r.listingLost && now.Sub(r.lostAt) >= leastOutage {
 		r.returned = now
 	}
+	r.listingLost = false
 }
 
 // Replace takes the whole listing and returns what changed.
@@ -268,6 +277,18 @@
 	return slices.DeleteFunc(all, func(c Candidate) bool { return c.State >= Suspect })
 }
 
+// Leaving returns the instances of a service that finish their work, in ID
+// order.
+func (r *Registry) Leaving(now time.Time, service string) []Instance {
+	var out []Instance
+	for _, e := range r.services[service] {
+		if e.state(now) == Draining {
+			out = append(out, e.instance)
+		}
+	}
+	return out
+}
+
 // Get returns an instance and its state; Gone when it isn't known.
 func (r *Registry) Get(now time.Time, id string) (Instance, State) {
 	if e, ok := r.entries[id]; ok {
--- a/internal/mirror/follower.go
+++ b/internal/mirror/follower.go
@@ -39,13 +39,13 @@
 	Prefix string
 	// Deliver takes each update, in order. It must not block for long.
 	Deliver func(Update)
-	// After returns the revision that a watch may go on from; zero for none.
-	After func() int64
+	// after is the revision that the next watch goes on from.
+	after int64
 }
 
 // Run follows the store until the context ends. Reset ends a watch that was
 // found to keep changes back, and reads everything again.
-func (f *Follower) Run(ctx context.Context, reset <-chan struct{}) error {
+func (f *Follower) Run(ctx context.Context, reset <-chan struct{}) {
 	failures := 0
 	listed := false
 	for ctx.Err() == nil {
@@ -68,7 +68,6 @@
 		failures++
 		f.fail(ctx, err, failures)
 	}
-	return nil
 }
 
 // fail reports an error and waits.
@@ -89,6 +88,7 @@
 	if err != nil {
 		return err
 	}
+	f.after = revision
 	f.Deliver(Update{Full: true, Entries: entries, Revision: revision})
 	return nil
 }
@@ -98,7 +98,7 @@
 func (f *Follower) watch(ctx context.Context, reset <-chan struct{}) (healthy bool, err error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	batches, err := f.Store.Watch(ctx, f.Prefix, f.After())
+	batches, err := f.Store.Watch(ctx, f.Prefix, f.after)
 	if err != nil {
 		return false, err
 	}
@@ -114,6 +114,7 @@
 				return healthy, batch.Err
 			}
 			healthy = true
+			f.after = max(f.after, batch.Revision)
 			f.Deliver(Update{Events: batch.Events, Revision: batch.Revision})
 		}
 	}
--- a/internal/mirror/freshness.go
+++ b/internal/mirror/freshness.go
@@ -7,6 +7,9 @@
 	// the store again. With a round of digests and a list, a change that a watch
 	// keeps back is in force well within two seconds.
 	confirmAfter = 900 * time.Millisecond
+	// strangerAfter is the same for a router that doesn't follow the store: those
+	// that do ask, and it hears of it, unless it is cut off from them.
+	strangerAfter = 1400 * time.Millisecond
 	// distrustedAfter is the same while watches are known to keep changes back.
 	distrustedAfter = 450 * time.Millisecond
 	// distrustTime is how long a watch is distrusted after it kept back a change.
@@ -38,11 +41,15 @@
 // Age returns the time since the copy was last known to be complete.
 func (f *Freshness) Age(now time.Time) time.Duration { return now.Sub(f.confirmed) }
 
-// Due reports whether to ask the store now, and notes that it is asked. Jitter
-// is a random time below JitterBound.
-func (f *Freshness) Due(now time.Time, jitter time.Duration) bool {
-	patience := confirmAfter
-	if now.Before(f.distrustUntil) {
+// Due reports whether to ask the store now, and notes that it is asked. Follows
+// tells whether the router follows the store. Jitter is a random time below
+// JitterBound.
+func (f *Freshness) Due(now time.Time, follows bool, jitter time.Duration) bool {
+	patience := strangerAfter
+	if follows {
+		patience = confirmAfter
+	}
+	if follows && now.Before(f.distrustUntil) {
 		patience = distrustedAfter
 	}
 	patience += jitter
--- a/internal/peering/link.go
+++ b/internal/peering/link.go
@@ -17,6 +17,8 @@
 const (
 	// maxDatagram is the most bytes of a datagram, below the usual path MTU.
 	maxDatagram = 1400
+	// identityBytes is the room for the sender's name and incarnation.
+	identityBytes = 100
 	// stateTimeout bounds the wait for a peer's copy of the records.
 	stateTimeout = 2 * time.Second
 )
@@ -26,8 +28,11 @@
 
 // Received is one datagram of another router.
 type Received struct {
-	Router  Router
-	Digest  *peerpb.Digest
+	Router Router
+	Digest *peerpb.Digest
+	// State is set in place of Digest in a datagram with changes of the records;
+	// Router has only a name then.
+	State   *peerpb.StateResponse
 	Strikes []*peerpb.Strike
 }
 
@@ -68,13 +73,26 @@
 	}, nil
 }
 
-// Send sends a digest with strikes to routers. Datagrams may be lost, and
+// SendDigest sends a digest with strikes to routers. Datagrams may be lost, and
 // failures are counted.
-func (l *Link) Send(to []string, d *peerpb.Digest, strikes []*peerpb.Strike) {
-	data, err := proto.Marshal(&peerpb.Datagram{
-		From: l.name, Incarnation: l.incarnation, Strikes: strikes,
-		Body: &peerpb.Datagram_Digest{Digest: d},
-	})
+func (l *Link) SendDigest(to []string, d *peerpb.Digest, strikes []*peerpb.Strike) {
+	l.send(to, &peerpb.Datagram{Strikes: strikes, Body: &peerpb.Datagram_Digest{Digest: d}})
+}
+
+// SendState sends changes of the records to routers; false when they don't fit
+// in a datagram.
+func (l *Link) SendState(to []string, s *peerpb.StateResponse) bool {
+	d := &peerpb.Datagram{Body: &peerpb.Datagram_State{State: s}}
+	if proto.Size(d) > maxDatagram-identityBytes {
+		return false
+	}
+	l.send(to, d)
+	return true
+}
+
+func (l *Link) send(to []string, d *peerpb.Datagram) {
+	d.From, d.Incarnation = l.name, l.incarnation
+	data, err := proto.Marshal(d)
 	if err != nil {
 		l.failed.Inc(1)
 		return
@@ -120,7 +138,13 @@
 // parse reads a datagram; false when it is none of a router.
 func parse(data []byte) (Received, bool) {
 	d := &peerpb.Datagram{}
-	if err := proto.Unmarshal(data, d); err != nil || d.GetDigest() == nil || d.GetFrom() == "" {
+	if err := proto.Unmarshal(data, d); err != nil || d.GetFrom() == "" {
+		return Received{}, false
+	}
+	if state := d.GetState(); state != nil {
+		return Received{Router: Router{Name: d.GetFrom(), Incarnation: d.GetIncarnation()}, State: state}, true
+	}
+	if d.GetDigest() == nil {
 		return Received{}, false
 	}
 	digest := d.GetDigest()
@@ -132,15 +156,15 @@
 			Name: d.GetFrom(), Incarnation: d.GetIncarnation(), CallerAddress: digest.GetCallerAddress(),
 			PeerAddress: digest.GetPeerAddress(), FailureDomain: digest.GetFailureDomain(),
 			Accepting: digest.GetAccepting(), Leaving: digest.GetLeaving(), StateRevision: digest.GetStateRevision(),
+			FollowsStore: digest.GetFollowsStore(),
 		},
 		Digest: digest, Strikes: d.GetStrikes(),
 	}, true
 }
 
-// FetchState asks a router for its copy of the platform's records. The answer
-// is empty when it has none that is newer.
-func (l *Link) FetchState(ctx context.Context, address string, have int64) (*peerpb.StateResponse, error) {
-	request := &peerpb.StateRequest{HaveRevision: have}
+// FetchState asks a router for what a copy of the platform's records lacks. The
+// answer is empty when it has nothing newer.
+func (l *Link) FetchState(ctx context.Context, address string, request *peerpb.StateRequest) (*peerpb.StateResponse, error) {
 	stream, err := l.pool.Open(ctx, address, &peerpb.StreamHeader{Request: &peerpb.StreamHeader_State{State: request}})
 	if err != nil {
 		return nil, err
@@ -154,15 +178,14 @@
 	return response, nil
 }
 
-// ServeState answers other routers' FetchState until the context ends. State
-// returns the copy for a router that has a revision.
-func (l *Link) ServeState(ctx context.Context, state func(have int64) *peerpb.StateResponse) error {
+// ServeState answers other routers' FetchState until the context ends.
+func (l *Link) ServeState(ctx context.Context, state func(*peerpb.StateRequest) *peerpb.StateResponse) error {
 	defer l.pool.Close()
 	return peer.NewServer(l.listener, stateHandler{state: state, failed: l.failed}).Run(ctx)
 }
 
 type stateHandler struct {
-	state  func(have int64) *peerpb.StateResponse
+	state  func(*peerpb.StateRequest) *peerpb.StateResponse
 	failed metrics.Counter
 }
 
@@ -173,7 +196,7 @@
 		h.failed.Inc(1)
 		return
 	}
-	if err := stream.Send(h.state(request.GetHaveRevision())); err != nil {
+	if err := stream.Send(h.state(request)); err != nil {
 		h.failed.Inc(1)
 	}
 }
--- a/internal/peering/roster.go
+++ b/internal/peering/roster.go
@@ -11,6 +11,8 @@
 	"math/rand/v2"
 	"slices"
 	"time"
+
+	"github.com/verbenatrail/verbenatrail/internal/placement"
 )
 
 const (
@@ -38,8 +40,13 @@
 	Accepting     bool
 	Leaving       bool
 	StateRevision int64
+	// FollowsStore is set while it follows the platform's store and reaches it.
+	FollowsStore bool
 }
 
+// WentSilent is what a Change says of a router that is no longer heard.
+const WentSilent = "silent"
+
 // Change tells that a router was heard, lost, or changed its mind.
 type Change struct {
 	Router Router
@@ -126,7 +133,7 @@
 		silence := now.Sub(m.heard)
 		if !m.silent && silence > patience {
 			m.silent = true
-			changes = append(changes, Change{Router: m.router, What: "silent", Silence: silence})
+			changes = append(changes, Change{Router: m.router, What: WentSilent, Silence: silence})
 		}
 		if silence > forgetAfter {
 			delete(r.members, name)
@@ -195,6 +202,29 @@
 	return out
 }
 
+// Advance notes that a router has a copy of the records at a revision.
+func (r *Roster) Advance(name string, revision int64) {
+	if m, ok := r.members[name]; ok {
+		m.router.StateRevision = max(m.router.StateRevision, revision)
+	}
+}
+
+// Followers returns the number of live routers that follow the store, and of
+// those among them that go before this one.
+func (r *Roster) Followers() (all, before int) {
+	own := placement.Key(r.self)
+	for _, router := range r.Live() {
+		if !router.FollowsStore || router.Leaving {
+			continue
+		}
+		all++
+		if placement.Key(router.Name) < own {
+			before++
+		}
+	}
+	return all, before
+}
+
 // Newest returns the live router with the newest copy of the platform's
 // records; false when there is none.
 func (r *Roster) Newest() (Router, bool) {
--- a/internal/placement/prompt.go
+++ b/internal/placement/prompt.go
@@ -14,88 +14,108 @@
 	Tokens int
 }
 
-// holdLifetime is how long a prefix is expected in an engine's cache after its
+// holdLifetime is how long a part is expected in an engine's cache after its
 // last use; engines evict the least recently used.
 const holdLifetime = 40 * time.Second
 
-// maxHeld bounds the prefixes that are remembered for one engine.
+// maxHeld bounds the parts that are remembered for one engine.
 const maxHeld = 512
 
-// Holdings remembers which prefixes engines are thought to hold. It isn't safe
-// for concurrent use.
+// Holdings remembers which parts of prompts engines are thought to hold. It
+// isn't safe for concurrent use.
 type Holdings struct {
-	engines map[string]*heldPrefixes
+	engines map[string]*heldParts
 }
 
-// heldPrefixes are the prefixes of one engine, the latest used first.
-type heldPrefixes struct {
+// heldParts are the parts of one engine, the latest used first.
+type heldParts struct {
 	order  *list.List
 	byHash map[uint64]*list.Element
 }
 
-type heldPrefix struct {
+type heldPart struct {
 	hash uint64
 	used time.Time
 }
 
 // NewHoldings returns Holdings that know nothing.
-func NewHoldings() *Holdings { return &Holdings{engines: make(map[string]*heldPrefixes)} }
+func NewHoldings() *Holdings { return &Holdings{engines: make(map[string]*heldParts)} }
 
-// PrefixHashes returns for each part the hash of the prefix that ends with it.
-func PrefixHashes(model string, parts []PromptPart) []uint64 {
+// PartHash is the short name of a part between routers.
+func PartHash(model, part string) uint64 { return xxhash.Sum64String(model + "\x00" + part) }
+
+// PartHashes returns the hashes of a prompt's parts.
+func PartHashes(model string, parts []PromptPart) []uint64 {
 	out := make([]uint64, 0, len(parts))
-	h := xxhash.New()
-	_, _ = h.WriteString(model)
 	for _, part := range parts {
-		_, _ = h.Write([]byte{0})
-		_, _ = h.WriteString(part.ID)
-		out = append(out, h.Sum64())
+		out = append(out, PartHash(model, part.ID))
 	}
 	return out
 }
 
-// Note records that an engine has read the prefixes.
-func (h *Holdings) Note(now time.Time, engine string, prefixes []uint64) {
+// Note records that an engine has read parts. It reports whether any was new.
+func (h *Holdings) Note(now time.Time, engine string, parts []uint64) bool {
 	held := h.engines[engine]
 	if held == nil {
-		held = &heldPrefixes{order: list.New(), byHash: make(map[uint64]*list.Element)}
+		held = &heldParts{order: list.New(), byHash: make(map[uint64]*list.Element)}
 		h.engines[engine] = held
 	}
-	for i := len(prefixes) - 1; i >= 0; i-- {
-		held.note(now, prefixes[i])
+	isNew := false
+	for i := len(parts) - 1; i >= 0; i-- {
+		isNew = held.note(now, parts[i]) || isNew
 	}
+	return isNew
 }
 
-func (p *heldPrefixes) note(now time.Time, hash uint64) {
+func (p *heldParts) note(now time.Time, hash uint64) (isNew bool) {
 	if element, ok := p.byHash[hash]; ok {
-		element.Value.(*heldPrefix).used = now
+		part := element.Value.(*heldPart)
+		isNew = now.Sub(part.used) > holdLifetime/4
+		part.used = now
 		p.order.MoveToFront(element)
-		return
+		return isNew
 	}
-	p.byHash[hash] = p.order.PushFront(&heldPrefix{hash: hash, used: now})
+	p.byHash[hash] = p.order.PushFront(&heldPart{hash: hash, used: now})
 	if p.order.Len() > maxHeld {
 		oldest := p.order.Back()
-		delete(p.byHash, oldest.Value.(*heldPrefix).hash)
+		delete(p.byHash, oldest.Value.(*heldPart).hash)
 		p.order.Remove(oldest)
 	}
+	return true
 }
 
 // Forget drops an engine that lost its cache.
 func (h *Holdings) Forget(engine string) { delete(h.engines, engine) }
 
-// Depth returns how many of the leading prefixes an engine holds.
-func (h *Holdings) Depth(now time.Time, engine string, prefixes []uint64) int {
+// Known reports whether anything is known of an engine.
+func (h *Holdings) Known(engine string) bool { return h.engines[engine] != nil }
+
+// All calls visit for each part that an engine is thought to hold.
+func (h *Holdings) All(now time.Time, visit func(engine string, part uint64)) {
+	for engine, held := range h.engines {
+		for element := held.order.Front(); element != nil; element = element.Next() {
+			part := element.Value.(*heldPart)
+			if now.Sub(part.used) > holdLifetime {
+				break
+			}
+			visit(engine, part.hash)
+		}
+	}
+}
+
+// Depth returns how many of the leading parts an engine holds.
+func (h *Holdings) Depth(now time.Time, engine string, parts []uint64) int {
 	held := h.engines[engine]
 	if held == nil {
 		return 0
 	}
-	for depth, prefix := range prefixes {
-		element, ok := held.byHash[prefix]
-		if !ok || now.Sub(element.Value.(*heldPrefix).used) > holdLifetime {
+	for depth, part := range parts {
+		element, ok := held.byHash[part]
+		if !ok || now.Sub(element.Value.(*heldPart).used) > holdLifetime {
 			return depth
 		}
 	}
-	return len(prefixes)
+	return len(parts)
 }
 
 // PromptCandidate is an engine with what decides about it.
@@ -110,6 +130,8 @@
 	Reading int
 	// Degraded engines are taken when no other has room.
 	Degraded bool
+	// SourceOnly engines take no calls, but parts can be fetched from them.
+	SourceOnly bool
 }
 
 // PromptSettings weigh cached parts against load.
@@ -150,9 +172,6 @@
 // that all routers agree on where a new prefix goes.
 func ChoosePrompt(s PromptSettings, parts []PromptPart, candidates []PromptCandidate) PromptChoice {
 	choice := PromptChoice{Index: -1, Source: -1}
-	if len(candidates) == 0 {
-		return choice
-	}
 	choice.Mean = meanLoad(candidates)
 	var key uint64
 	if len(parts) > 0 {
@@ -160,24 +179,35 @@
 	}
 	best := scoredEngine{index: -1}
 	for i, c := range candidates {
+		if c.SourceOnly {
+			continue
+		}
 		e := score(s, parts, c, choice.Mean, key)
 		e.index = i
 		if best.index < 0 || e.better(best) {
 			best = e
 		}
 	}
+	if best.index < 0 {
+		return choice
+	}
 	choice.Index = best.index
 	choice.Unread = unread(parts, candidates[best.index].Depth)
 	choice.Source = source(parts, candidates, best.index)
 	return choice
 }
 
+// meanLoad is the mean over the engines that take calls, with the call that is
+// to be placed.
 func meanLoad(candidates []PromptCandidate) float64 {
-	total := 0
+	total, engines := 1, 0
 	for _, c := range candidates {
-		total += c.Load
+		if !c.SourceOnly {
+			total += c.Load
+			engines++
+		}
 	}
-	return float64(total+1) / float64(len(candidates))
+	return float64(total) / float64(max(engines, 1))
 }
 
 // unread is the number of tokens in the parts after a depth.
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -4,6 +4,7 @@
 package routing
 
 import (
+	"slices"
 	"strings"
 	"time"
 
@@ -169,6 +170,18 @@
 // Service returns a service by name, nil when the revision has none.
 func (t *Table) Service(name string) *Service { return t.services[name] }
 
+// ModelServices returns the names of the services of model engines, in order.
+func (t *Table) ModelServices() []string {
+	var out []string
+	for name, s := range t.services {
+		if s.Model {
+			out = append(out, name)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
 // Match returns the route with the longest prefix of a path; its error is
 // ErrNoRoute. Prefixes begin and end with a slash.
 func (t *Table) Match(host, path string) (*Route, error) {
