Edge: a started router asks its share of the engines for what they hold

Cause: a router that knew ten parts counted as one that knows all, so after a loss of power the engines' lists were mostly not asked. Change: holdings are complete from the first start on, from a router whose own are, or a second after each router has asked its share of the engines.

--- a/internal/dispatch/holdings.go
+++ b/internal/dispatch/holdings.go
@@ -74,17 +74,15 @@
 	b.holdings.Note(b.options.Now(), instance, parts)
 }
 
-// UnknownHoldings returns the instances of some services of which nothing is
-// known that they hold, in ID order.
-func (b *Balancer) UnknownHoldings(services []string) []instances.Instance {
+// Instances returns the instances of some services that may take work, in ID
+// order.
+func (b *Balancer) Instances(services []string) []instances.Instance {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	var out []instances.Instance
 	for _, service := range services {
 		for _, c := range b.registry.Candidates(b.options.Now(), service, nil) {
-			if !b.holdings.Known(c.ID) {
-				out = append(out, c.Instance)
-			}
+			out = append(out, c.Instance)
 		}
 	}
 	return out
--- a/internal/edge/control.go
+++ b/internal/edge/control.go
@@ -56,6 +56,8 @@
 		roster: peering.NewRoster(e.options.Settings.Name, rand.Uint64()),
 	}
 	c.roster.SetListed(c.seeds)
+	// At the first start of the whole system, instances hold nothing.
+	c.warm.complete = e.options.Settings.FirstStart
 	return c
 }
 
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -84,7 +84,7 @@
 		response = deltaToProto(delta)
 	}
 	if s.request.GetWithHeld() {
-		response.Held = c.edge.balancer.Held()
+		response.Held, response.HeldComplete = c.edge.balancer.Held(), c.warm.complete
 	}
 	s.reply <- response
 }
--- a/internal/edge/records.go
+++ b/internal/edge/records.go
@@ -118,7 +118,7 @@
 		log.Failure("records not fetched", s.err, decisionlog.Fields{"router": s.from})
 		return
 	}
-	c.hearHeldAll(s.from, s.response.GetHeld())
+	c.hearHeldAll(s.from, s.response)
 	delta := deltaFromProto(s.response)
 	had := c.mirror.Revision()
 	if !c.mirror.Merge(delta) {
@@ -139,6 +139,7 @@
 	c.publishTable(now, snapshot.Table)
 	c.edge.balancer.SetInstances(snapshot.Instances)
 	c.roster.SetListed(append(slices.Clone(c.seeds), snapshot.Routers...))
+	c.warmUp(now)
 }
 
 // publishTable puts a configuration in force that isn't older than the last.
--- a/internal/edge/warm.go
+++ b/internal/edge/warm.go
@@ -27,8 +27,11 @@
 
 const (
 	// inventoryDelay is how long a started router waits for another one's word
-	// on what instances hold, which costs less than theirs: one round.
-	inventoryDelay = peering.RoundInterval
+	// on what instances hold, which costs less than theirs: some round trips.
+	inventoryDelay = 60 * time.Millisecond
+	// inventorySpread is the time in which routers that start together have
+	// asked their instances and told each other.
+	inventorySpread = time.Second
 	// inventoryTimeout bounds one instance's answer.
 	inventoryTimeout = time.Second
 	// heldPerDatagram keeps what instances hold within a datagram.
@@ -37,15 +40,19 @@
 
 // warmState is how a started router learns what instances hold.
 type warmState struct {
-	// done is set once that is known, or nothing can be held.
-	done    bool
-	asking  bool
-	readyAt time.Time
+	// complete is set once that is known: from the first start on, from a router
+	// that knows, or from the instances.
+	complete bool
+	// asking is set while a router is asked.
+	asking bool
+	// asked is when this router asked its share of the instances.
+	asked time.Time
+	timer *time.Timer
 }
 
 // askHeld asks the first router that is heard what instances hold.
 func (c *control) askHeld(from peering.Router) {
-	if c.warm.done || c.warm.asking || !from.Accepting {
+	if c.warm.complete || c.warm.asking || !from.Accepting || !c.warm.asked.IsZero() {
 		return
 	}
 	c.warm.asking = true
@@ -53,35 +60,45 @@
 }
 
 // hearHeldAll takes another router's word on what all instances hold.
-func (c *control) hearHeldAll(from string, held []*peerpb.HeldPart) {
+func (c *control) hearHeldAll(from string, s *peerpb.StateResponse) {
 	c.warm.asking = false
-	if len(held) == 0 {
+	if len(s.GetHeld()) == 0 && !s.GetHeldComplete() {
 		return
 	}
-	c.warm.done = true
-	c.edge.balancer.HearHeld(held)
-	c.edge.options.Log.Decision("holdings heard", decisionlog.Fields{"router": from, "parts": len(held)})
+	c.warm.complete = c.warm.complete || s.GetHeldComplete()
+	c.edge.balancer.HearHeld(s.GetHeld())
+	c.edge.options.Log.Decision("holdings heard", decisionlog.Fields{
+		"router": from, "parts": len(s.GetHeld()), "complete": s.GetHeldComplete(),
+	})
 }
 
-// warmUp asks the instances themselves what they hold, when no other router
-// knows. At the first start of the whole system they hold nothing.
+// warmUp has the instances asked after a while, unless another router knows.
 func (c *control) warmUp(now time.Time) {
-	if c.warm.done || c.edge.options.Settings.FirstStart || !c.edge.Ready() {
-		return
-	}
-	if c.warm.readyAt.IsZero() {
-		c.warm.readyAt = now
+	w := &c.warm
+	switch {
+	case w.complete:
+	case !w.asked.IsZero():
+		w.complete = now.Sub(w.asked) >= inventorySpread
+	case w.timer == nil && c.edge.Ready():
+		w.timer = time.AfterFunc(inventoryDelay, func() { c.edge.post(inventoryDue{}) })
 	}
-	if now.Sub(c.warm.readyAt) < inventoryDelay || c.warm.asking {
+}
+
+type inventoryDue struct{}
+
+// apply asks the instances what they hold. Routers that start together share
+// them.
+func (inventoryDue) apply(c *control, now time.Time) {
+	if c.warm.complete || !c.edge.Ready() {
 		return
 	}
-	c.warm.done = true
+	c.warm.asked = now
 	names := []string{c.edge.options.Settings.Name}
 	for _, r := range c.roster.Live() {
 		names = append(names, r.Name)
 	}
 	slices.Sort(names)
-	for _, i := range c.edge.balancer.UnknownHoldings(c.edge.table.Load().ModelServices()) {
+	for _, i := range c.edge.balancer.Instances(c.edge.table.Load().ModelServices()) {
 		if owner, _ := placement.Owner(i.ID, names); owner == c.edge.options.Settings.Name {
 			go c.edge.takeInventory(i)
 		}
--- a/internal/placement/prompt.go
+++ b/internal/placement/prompt.go
@@ -87,9 +87,6 @@
 // Forget drops an engine that lost its cache.
 func (h *Holdings) Forget(engine string) { delete(h.engines, engine) }
 
-// Known reports whether anything is known of an engine.
-func (h *Holdings) Known(engine string) bool { return h.engines[engine] != nil }
-
 // All calls visit for each part that an engine is thought to hold.
 func (h *Holdings) All(now time.Time, visit func(engine string, part uint64)) {
 	for engine, held := range h.engines {
