Dispatch: calls that share parts follow the first to the engine that reads them

Cause: while an engine reads a part for the first time, other calls with that part went elsewhere and had it read again.

--- a/internal/dispatch/balancer.go
+++ b/internal/dispatch/balancer.go
@@ -27,6 +27,9 @@
 	// Strike is called for each strike that other routers should hear of. It
 	// must not block.
 	Strike func(*peerpb.Strike)
+	// News is called when other routers should hear what instances read. It must
+	// not block.
+	News func()
 	// Now is the clock; nil takes the machine's.
 	Now func() time.Time
 }
@@ -59,6 +62,9 @@
 	if o.Strike == nil {
 		o.Strike = func(*peerpb.Strike) {}
 	}
+	if o.News == nil {
+		o.News = func() {}
+	}
 	return &Balancer{
 		options: o, registry: instances.New(), loads: loadshare.New(), holdings: placement.NewHoldings(),
 		expected: newExpectations(), reading: make(map[string]int),
@@ -101,9 +107,22 @@
 	p.candidates = len(candidates)
 	b.loads.Begin(p.instance.ID)
 	b.reading[p.instance.ID] += p.unread
+	b.expectHeld(now, p)
 	return p, true
 }
 
+// expectHeld notes that an instance is about to read a prompt's parts, so that
+// calls that share them follow it there, and has other routers told.
+func (b *Balancer) expectHeld(now time.Time, p pick) {
+	if len(p.parts) == 0 || !b.holdings.Note(now, p.instance.ID, p.parts) {
+		return
+	}
+	for _, part := range p.parts {
+		b.news = append(b.news, readNews{at: now, instance: p.instance.ID, part: part})
+	}
+	b.options.News()
+}
+
 func (b *Balancer) chooseByPrompt(now time.Time, c *call.Call, service string, candidates []instances.Candidate) pick {
 	shared := c.Prompt.Shared()
 	parts := make([]placement.PromptPart, 0, len(shared))
@@ -170,12 +189,14 @@
 	defer b.mu.Unlock()
 	b.doneReading(*p)
 	p.unread = 0
-	now := b.options.Now()
-	if len(p.parts) == 0 || !b.holdings.Note(now, p.instance.ID, p.parts) {
-		return
-	}
-	for _, part := range p.parts {
-		b.news = append(b.news, readNews{at: now, instance: p.instance.ID, part: part})
+}
+
+// notRead tells that an instance did not read what it was expected to.
+func (b *Balancer) notRead(p pick) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if p.unread > 0 {
+		b.holdings.Drop(p.instance.ID, p.parts)
 	}
 }
 
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -99,6 +99,7 @@
 		if s.answered {
 			return
 		}
+		b.notRead(p)
 		if r.ctx.Err() != nil {
 			r.outcome = "caller left"
 			return
--- a/internal/dispatch/send.go
+++ b/internal/dispatch/send.go
@@ -54,7 +54,7 @@
 		options.Balancer.report(p, r.route, instances.Unreachable, 0)
 		return failed(attempt.Unsent, instances.Unreachable, err.Error())
 	}
-	e := &exchange{run: r, pick: p, conn: conn, began: time.Now()}
+	e := &exchange{run: r, pick: p, conn: conn, began: time.Now(), unread: p.unread}
 	s := e.exchange(ctx)
 	e.report(s)
 	return s
@@ -66,6 +66,8 @@
 	pick  pick
 	conn  *upstream.Conn
 	began time.Time
+	// unread is the number of shared tokens that had to be read at the start.
+	unread int
 	// firstByte is when the answer began, zero before.
 	firstByte time.Time
 	silence   *silence
@@ -214,7 +216,7 @@
 		took = e.firstByte.Sub(e.began)
 		e.run.dispatcher.metrics.firstByte.Update(microseconds(took))
 	}
-	if e.pick.unread > 0 {
+	if e.unread > 0 {
 		// The time depends on what had to be read.
 		took = 0
 	}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -48,6 +48,9 @@
 	table   atomic.Pointer[routing.Table]
 	routers atomic.Pointer[[]peering.Router]
 	leaving atomic.Bool
+	// newsDue is set while other routers are about to be told what instances
+	// read.
+	newsDue atomic.Bool
 
 	commands chan command
 	// resync interrupts the watch of the store when others are ahead.
@@ -68,6 +71,7 @@
 	e.balancer = dispatch.NewBalancer(dispatch.BalancerOptions{
 		Zone: o.Settings.FailureDomain, Retries: o.Settings.Retries, Containment: containment.DefaultSettings(),
 		Log: o.Log, Strike: func(s *peerpb.Strike) { e.post(strikeFound{strike: s}) },
+		News: e.scheduleNews,
 	})
 	e.pool = upstream.NewPool(o.Registry)
 	dispatcher := dispatch.New(dispatch.Options{
--- a/internal/placement/prompt.go
+++ b/internal/placement/prompt.go
@@ -84,6 +84,20 @@
 	return true
 }
 
+// Drop takes back that an engine holds parts.
+func (h *Holdings) Drop(engine string, parts []uint64) {
+	held := h.engines[engine]
+	if held == nil {
+		return
+	}
+	for _, part := range parts {
+		if element, ok := held.byHash[part]; ok {
+			held.order.Remove(element)
+			delete(held.byHash, part)
+		}
+	}
+}
+
 // Forget drops an engine that lost its cache.
 func (h *Holdings) Forget(engine string) { delete(h.engines, engine) }
 
