Dispatch: shared reading loads, wider bounds, an engine's own failure is retried

Change: digests tell the tokens that are still to be read; followers settle in half a second; calls that an instance answered with its own failure are sent again within half of the budget, and the failure is passed on if no other does better; bounds 1.8 x mean + 2.5, and 1.4 x mean + 2 for what is read anew.

--- a/internal/dispatch/balancer.go
+++ b/internal/dispatch/balancer.go
@@ -44,7 +44,6 @@
 	loads    *loadshare.Table
 	holdings *placement.Holdings
 	expected *expectations
-	reading  map[string]int
 	windows  map[string]*retry.Window
 	crashes  *containment.Containment
 	routers  int
@@ -67,8 +66,8 @@
 	}
 	return &Balancer{
 		options: o, registry: instances.New(), loads: loadshare.New(), holdings: placement.NewHoldings(),
-		expected: newExpectations(), reading: make(map[string]int),
-		windows: make(map[string]*retry.Window), crashes: containment.New(o.Containment), routers: 1,
+		expected: newExpectations(),
+		windows:  make(map[string]*retry.Window), crashes: containment.New(o.Containment), routers: 1,
 		names: make(map[uint32]string),
 	}
 }
@@ -105,8 +104,7 @@
 		p = b.chooseByLoad(now, c, candidates)
 	}
 	p.candidates = len(candidates)
-	b.loads.Begin(p.instance.ID)
-	b.reading[p.instance.ID] += p.unread
+	b.loads.Begin(p.instance.ID, p.unread)
 	b.expectHeld(now, p)
 	return p, true
 }
@@ -133,9 +131,10 @@
 	leaving := b.registry.Leaving(now, service)
 	scored := make([]placement.PromptCandidate, 0, len(candidates)+len(leaving))
 	for _, candidate := range candidates {
+		load := b.loads.Load(now, candidate.ID)
 		scored = append(scored, placement.PromptCandidate{
-			Name: candidate.ID, Load: b.loads.Load(now, candidate.ID),
-			Depth: b.holdings.Depth(now, candidate.ID, hashes), Reading: b.reading[candidate.ID],
+			Name: candidate.ID, Load: load.Calls, Reading: load.Reading,
+			Depth:    b.holdings.Depth(now, candidate.ID, hashes),
 			Degraded: candidate.State == instances.Degraded,
 		})
 	}
@@ -163,7 +162,7 @@
 	loaded := make([]placement.LoadCandidate, 0, len(candidates))
 	for _, candidate := range candidates {
 		loaded = append(loaded, placement.LoadCandidate{
-			Name: candidate.ID, Load: b.loads.Load(now, candidate.ID), Slots: candidate.Slots,
+			Name: candidate.ID, Load: b.loads.Load(now, candidate.ID).Calls, Slots: candidate.Slots,
 			Near: candidate.Zone == b.options.Zone, Degraded: candidate.State == instances.Degraded,
 			Cold: now.Before(candidate.WarmAt),
 		})
@@ -179,15 +178,15 @@
 func (b *Balancer) done(p pick) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.loads.Read(p.instance.ID, p.unread)
 	b.loads.End(p.instance.ID)
-	b.doneReading(p)
 }
 
 // firstByte tells that an instance began to answer: it has read the prompt.
 func (b *Balancer) firstByte(p *pick) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.doneReading(*p)
+	b.loads.Read(p.instance.ID, p.unread)
 	p.unread = 0
 }
 
@@ -200,14 +199,6 @@
 	}
 }
 
-func (b *Balancer) doneReading(p pick) {
-	if left := b.reading[p.instance.ID] - p.unread; left > 0 {
-		b.reading[p.instance.ID] = left
-		return
-	}
-	delete(b.reading, p.instance.ID)
-}
-
 // report takes the result of a send. Took is the time to the first byte, zero
 // when it says nothing about the instance's speed.
 func (b *Balancer) report(p pick, route *routing.Route, result instances.Result, took time.Duration) {
@@ -241,10 +232,10 @@
 
 // takeRepeat counts a repeat to a service if this router's share of the
 // fleet's budget allows it.
-func (b *Balancer) takeRepeat(service string) bool {
+func (b *Balancer) takeRepeat(service string, need retry.Need) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.window(service).Take(b.options.Now(), b.routers)
+	return b.window(service).Take(b.options.Now(), b.routers, need)
 }
 
 func (b *Balancer) window(service string) *retry.Window {
@@ -293,12 +284,12 @@
 
 // HearPeer takes what another router tells of its calls.
 func (b *Balancer) HearPeer(name string, d *peerpb.Digest) {
-	counts := make(map[uint32]int, len(d.GetLoads()))
+	work := make(map[uint32]loadshare.Work, len(d.GetLoads()))
 	for _, l := range d.GetLoads() {
-		counts[l.GetInstance()] = int(l.GetInFlight())
+		work[l.GetInstance()] = loadshare.Work{Calls: int(l.GetInFlight()), Reading: int(l.GetReading())}
 	}
 	b.mu.Lock()
-	b.loads.HearPeer(b.options.Now(), name, counts)
+	b.loads.HearPeer(b.options.Now(), name, work)
 	b.mu.Unlock()
 	b.HearHeld(d.GetHeld())
 }
--- a/internal/dispatch/holdings.go
+++ b/internal/dispatch/holdings.go
@@ -30,9 +30,11 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	var loads []*peerpb.InstanceLoad
-	for id, n := range b.loads.Own() {
+	for id, work := range b.loads.Own() {
 		if len(loads) < maxDigestLoads {
-			loads = append(loads, &peerpb.InstanceLoad{Instance: loadshare.Hash(id), InFlight: uint32(n)})
+			loads = append(loads, &peerpb.InstanceLoad{
+				Instance: loadshare.Hash(id), InFlight: uint32(work.Calls), Reading: uint32(work.Reading),
+			})
 		}
 	}
 	oldest := b.options.Now().Add(-heldRepeat)
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"sync"
 	"time"
 
@@ -10,6 +11,7 @@
 	"github.com/verbenatrail/verbenatrail/internal/decisionlog"
 	"github.com/verbenatrail/verbenatrail/internal/instances"
 	"github.com/verbenatrail/verbenatrail/internal/refusal"
+	"github.com/verbenatrail/verbenatrail/internal/retry"
 	"github.com/verbenatrail/verbenatrail/internal/routing"
 )
 
@@ -34,6 +36,9 @@
 	mayHaveRun bool
 	// stream is what the caller has of a stream.
 	stream streamPosition
+	// failure is an instance's own failure that is passed on if no other instance
+	// does better.
+	failure *wholeAnswer
 	// outcome is how the call ended, for the log.
 	outcome string
 	status  int
@@ -46,6 +51,19 @@
 	prepaid bool
 }
 
+// wholeAnswer is an instance's answer that isn't a stream.
+type wholeAnswer struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+// answer passes a whole answer on.
+func (r *run) answer(a *wholeAnswer) {
+	r.status, r.outcome = a.status, "answered"
+	r.out.Whole(a.status, a.header, a.body)
+}
+
 // streamPosition is how far the caller's answer has got.
 type streamPosition struct {
 	begun  bool
@@ -118,7 +136,7 @@
 		Progress: s.progress, Repeatable: r.route.Repeatable(), Sends: r.sends, MaxAttempts: r.route.MaxAttempts,
 		Dials: r.dials, EarlierMayHaveRun: r.mayHaveRun, Started: r.stream.begun,
 		TimeLeft: r.deadline.Sub(now), Needed: r.leastTime(),
-	}, r.takeRepeat)
+	}, func() bool { return r.takeRepeat(s.result) })
 	r.dispatcher.options.Log.Decision("send failed", decisionlog.Fields{
 		"call": r.call.ID, "instance": p.instance.ID, "address": p.instance.Address, "result": s.result.String(),
 		"progress": s.progress.String(), "error": s.reason, "sends": r.sends, "dials": r.dials,
@@ -147,14 +165,18 @@
 
 // takeRepeat counts a repeat, unless the timer that gave up on the last send
 // has counted it.
-func (r *run) takeRepeat() bool {
+func (r *run) takeRepeat(result instances.Result) bool {
+	need := retry.Urgent
+	if result == instances.Failed {
+		need = retry.Spare
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.prepaid {
 		r.prepaid = false
 		return true
 	}
-	return r.dispatcher.options.Balancer.takeRepeat(r.service)
+	return r.dispatcher.options.Balancer.takeRepeat(r.service, need)
 }
 
 const (
@@ -183,6 +205,10 @@
 
 // end carries out a verdict that ends the call.
 func (r *run) end(v attempt.Verdict, s sent) {
+	if r.failure != nil && !r.stream.begun {
+		r.answer(r.failure)
+		return
+	}
 	switch v {
 	case attempt.Break:
 		r.outcome = "broken"
--- a/internal/dispatch/send.go
+++ b/internal/dispatch/send.go
@@ -172,7 +172,10 @@
 	if response.StatusCode >= http.StatusInternalServerError {
 		result = instances.Failed
 	}
-	if result == instances.Failed && e.worthRetry() {
+	answer := &wholeAnswer{status: response.StatusCode, header: response.Header, body: body}
+	if result == instances.Failed && e.run.route.Repeatable() {
+		// Another instance may do better; if none does, the caller gets this.
+		e.run.failure = answer
 		return failed(attempt.MayHaveRun, result, "status "+strconv.Itoa(response.StatusCode))
 	}
 	if e.reply.PromisesNotRun && !e.run.route.Repeatable() {
@@ -180,17 +183,10 @@
 		// instance did not state.
 		return failed(attempt.MayHaveRun, result, "status "+strconv.Itoa(response.StatusCode)+" without a statement")
 	}
-	e.run.status, e.run.outcome = response.StatusCode, "answered"
-	e.run.out.Whole(response.StatusCode, response.Header, body)
+	e.run.answer(answer)
 	return sent{answered: true, result: result}
 }
 
-// worthRetry reports whether another instance would probably do better: an
-// application's own failure mostly repeats itself, a model engine's doesn't.
-func (e *exchange) worthRetry() bool {
-	return e.run.route.Kind == routing.Streaming || e.pick.state == instances.Degraded
-}
-
 // broken classifies an answer that ended too early.
 func (e *exchange) broken(err error) sent {
 	if e.silence.gaveUp() {
--- a/internal/dispatch/silence.go
+++ b/internal/dispatch/silence.go
@@ -6,6 +6,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/verbenatrail/verbenatrail/internal/retry"
 	"github.com/verbenatrail/verbenatrail/internal/routing"
 )
 
@@ -89,7 +90,7 @@
 	if !b.hasOther(r.service, append(r.excluded[:len(r.excluded):len(r.excluded)], p.instance.ID)) {
 		return false
 	}
-	if !b.takeRepeat(r.service) {
+	if !b.takeRepeat(r.service, retry.Urgent) {
 		return false
 	}
 	r.mu.Lock()
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -13,9 +13,9 @@
 	// followers is the number of routers that follow the store; they pass
 	// changes on. Each call of the store is paid for, and one may fail.
 	followers = 2
-	// unfollowAfter is how long enough others must follow before a router stops:
-	// routers that start together must not all stop.
-	unfollowAfter = 2 * time.Second
+	// unfollowAfter is how long enough others that go first must follow before a
+	// router stops: two rounds, in which one that fell silent is noticed.
+	unfollowAfter = 500 * time.Millisecond
 )
 
 // followState is this router's part in following the store.
--- a/internal/loadshare/loadshare.go
+++ b/internal/loadshare/loadshare.go
@@ -4,6 +4,7 @@
 package loadshare
 
 import (
+	"maps"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -20,10 +21,18 @@
 // Hash is the short name of an instance between routers.
 func Hash(instance string) uint32 { return uint32(xxhash.Sum64String(instance)) }
 
+// Work is what a router has given to an instance.
+type Work struct {
+	// Calls are in flight.
+	Calls int
+	// Reading is the number of tokens that are still to be read for them.
+	Reading int
+}
+
 // peer is the last word of another router.
 type peer struct {
-	at     time.Time
-	counts map[uint32]int
+	at   time.Time
+	work map[uint32]Work
 }
 
 // report is an instance's own word, with this router's count at that moment.
@@ -35,40 +44,48 @@
 
 // Table holds the loads that one router knows.
 type Table struct {
-	own     map[string]int
+	own     map[string]Work
 	peers   map[string]peer
 	reports map[string]report
 }
 
 // New returns an empty Table.
 func New() *Table {
-	return &Table{own: make(map[string]int), peers: make(map[string]peer), reports: make(map[string]report)}
+	return &Table{own: make(map[string]Work), peers: make(map[string]peer), reports: make(map[string]report)}
+}
+
+// Begin counts a call that this router sends to an instance, with the tokens
+// that have to be read for it.
+func (t *Table) Begin(instance string, reading int) {
+	w := t.own[instance]
+	t.own[instance] = Work{Calls: w.Calls + 1, Reading: w.Reading + reading}
 }
 
-// Begin counts a call that this router sends to an instance.
-func (t *Table) Begin(instance string) { t.own[instance]++ }
+// Read counts tokens that an instance has read.
+func (t *Table) Read(instance string, tokens int) {
+	if w, ok := t.own[instance]; ok {
+		w.Reading = max(w.Reading-tokens, 0)
+		t.own[instance] = w
+	}
+}
 
 // End counts the end of a call.
 func (t *Table) End(instance string) {
-	if t.own[instance] <= 1 {
+	w := t.own[instance]
+	if w.Calls <= 1 {
 		delete(t.own, instance)
 		return
 	}
-	t.own[instance]--
+	w.Calls--
+	t.own[instance] = w
 }
 
-// Own returns a copy of this router's counts, without the idle instances.
-func (t *Table) Own() map[string]int {
-	out := make(map[string]int, len(t.own))
-	for instance, n := range t.own {
-		out[instance] = n
-	}
-	return out
-}
+// Own returns a copy of this router's work, without the idle instances.
+func (t *Table) Own() map[string]Work { return maps.Clone(t.own) }
 
-// HearPeer takes the counts of another router, by Hash.
-func (t *Table) HearPeer(now time.Time, name string, counts map[uint32]int) {
-	t.peers[name] = peer{at: now, counts: counts}
+// HearPeer takes the work of another router, by Hash.
+func (t *Table) HearPeer(now time.Time, name string, work map[uint32]Work) {
+	t.peers[name] = peer{at: now, work: work}
 }
 
 // ForgetPeer drops a router that has gone.
@@ -76,26 +93,28 @@
 
 // HearInstance takes the number of calls that an instance says it holds.
 func (t *Table) HearInstance(now time.Time, instance string, total int) {
-	t.reports[instance] = report{at: now, total: total, own: t.own[instance]}
+	t.reports[instance] = report{at: now, total: total, own: t.own[instance].Calls}
 }
 
 // Forget drops an instance that has gone.
 func (t *Table) Forget(instance string) { delete(t.reports, instance) }
 
-// Load returns the calls that an instance is thought to hold.
-func (t *Table) Load(now time.Time, instance string) int {
-	counted := t.own[instance]
+// Load returns what an instance is thought to hold.
+func (t *Table) Load(now time.Time, instance string) Work {
+	own := t.own[instance]
+	load := own
 	hash := Hash(instance)
 	for _, p := range t.peers {
 		if now.Sub(p.at) < peerLifetime {
-			counted += p.counts[hash]
+			load.Calls += p.work[hash].Calls
+			load.Reading += p.work[hash].Reading
 		}
 	}
 	r, ok := t.reports[instance]
-	if !ok || now.Sub(r.at) >= reportLifetime {
-		return counted
+	if ok && now.Sub(r.at) < reportLifetime {
+		// The instance's own word counts what no router told yet; this router's
+		// changes since then are added.
+		load.Calls = max(load.Calls, r.total+own.Calls-r.own)
 	}
-	// The instance's own word counts what no router told yet; this router's
-	// changes since then are added.
-	return max(counted, r.total+t.own[instance]-r.own)
+	return load
 }
--- a/internal/placement/prompt.go
+++ b/internal/placement/prompt.go
@@ -136,8 +136,7 @@
 	Load int
 	// Depth is the number of leading parts that it holds.
 	Depth int
-	// Reading is the number of tokens that it was given to read lately and may
-	// not have read yet.
+	// Reading is the number of tokens that it was given to read and has not read.
 	Reading int
 	// Degraded engines are taken when no other has room.
 	Degraded bool
@@ -158,11 +157,14 @@
 	// LoadTokens is the number of tokens to read that one more call at an engine
 	// outweighs.
 	LoadTokens float64
+	// ReadingWeight is what a token that is to be read for other calls first
+	// counts, against one of this call: it may be one of its own parts.
+	ReadingWeight float64
 }
 
 // DefaultPromptSettings returns the weights that daemons use.
 func DefaultPromptSettings() PromptSettings {
-	return PromptSettings{BoundFactor: 1.6, BoundExtra: 2, HomeFactor: 1.25, HomeExtra: 1, LoadTokens: 60}
+	return PromptSettings{BoundFactor: 1.8, BoundExtra: 2.5, HomeFactor: 1.4, HomeExtra: 2, LoadTokens: 60, ReadingWeight: 0.7}
 }
 
 // PromptChoice is the decision about one prompt.
@@ -247,7 +249,7 @@
 	}
 	bound := factor*mean + extra
 	over := float64(c.Load+1) > bound
-	cost := float64(unread(parts, c.Depth)+c.Reading) + s.LoadTokens*max(0, float64(c.Load)-mean)
+	cost := float64(unread(parts, c.Depth)) + s.ReadingWeight*float64(c.Reading) + s.LoadTokens*max(0, float64(c.Load)-mean)
 	if over {
 		// Beyond the bound, evenness alone counts.
 		cost = float64(c.Load)
--- a/internal/retry/window.go
+++ b/internal/retry/window.go
@@ -34,12 +34,28 @@
 	w.requests = append(w.requests, now)
 }
 
+// Need tells how much a repeat matters.
+type Need int
+
+// Needs of a repeat.
+const (
+	// Urgent repeats may use the whole share.
+	Urgent Need = iota
+	// Spare repeats use half of the share: those of calls that an instance has
+	// answered with its own failure, which mostly repeats itself.
+	Spare
+)
+
 // Take counts a repeat if the share allows it. Daemons is the number of daemons
 // that share the budget.
-func (w *Window) Take(now time.Time, daemons int) bool {
+func (w *Window) Take(now time.Time, daemons int, need Need) bool {
 	w.forget(now)
 	allowed := w.settings.Ratio*float64(len(w.requests)) + w.settings.Extra/float64(max(daemons, 1))
-	if float64(len(w.repeats)+1) > allowed*(1-windowReserve) {
+	allowed *= 1 - windowReserve
+	if need == Spare {
+		allowed /= 2
+	}
+	if float64(len(w.repeats)+1) > allowed {
 		return false
 	}
 	w.repeats = append(w.repeats, now)
