Mirror: deltas across a gap suit only the copy that they were made for

Cause: a router that read everything again does not know what was written and removed in between; its deltas left a removed record in copies from within that span. Ruled out: events out of order, late deltas. Change: gaps are kept; a copy from within one gets everything, and a delta across one suits its exact revision only.

--- /dev/null
+++ b/internal/attempt/attempt_test.go
@@ -0,0 +1,116 @@
+package attempt
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// every calls check for each combination of what a verdict depends on.
+func every(check func(f Failure, budget bool)) {
+	flags := []bool{false, true}
+	for _, progress := range []Progress{Unsent, NotRun, MayHaveRun} {
+		for sends := range 4 {
+			for dials := range maxDials + 1 {
+				for _, left := range []time.Duration{-time.Second, 0, 10 * time.Millisecond, time.Second} {
+					for bits := range 16 {
+						check(Failure{
+							Progress: progress, Sends: sends, MaxAttempts: 2, Dials: dials, TimeLeft: left,
+							Needed: 20 * time.Millisecond, Repeatable: flags[bits&1], EarlierMayHaveRun: flags[bits>>1&1],
+							Started: flags[bits>>2&1],
+						}, flags[bits>>3&1])
+					}
+				}
+			}
+		}
+	}
+}
+
+func decide(f Failure, budget bool) (verdict Verdict, asked int) {
+	verdict = Decide(f, func() bool { asked++; return budget })
+	return verdict, asked
+}
+
+func TestCallsThatMayHaveRunAreNotRepeated(t *testing.T) {
+	every(func(f Failure, budget bool) {
+		verdict, _ := decide(f, budget)
+		mayHaveRun := f.Progress == MayHaveRun || f.EarlierMayHaveRun && f.Progress == NotRun
+		if verdict == Again && mayHaveRun && !f.Repeatable {
+			t.Errorf("%+v is sent again", f)
+		}
+	})
+}
+
+func TestRefusalsAreTrue(t *testing.T) {
+	every(func(f Failure, budget bool) {
+		verdict, _ := decide(f, budget)
+		if verdict == Refuse && (f.Progress == MayHaveRun || f.EarlierMayHaveRun || f.Started) {
+			t.Errorf("%+v is told not to have run", f)
+		}
+	})
+}
+
+func TestAttemptsAndBudgetBoundTheSends(t *testing.T) {
+	every(func(f Failure, budget bool) {
+		verdict, asked := decide(f, budget)
+		if asked > 1 {
+			t.Errorf("%+v asks the budget %d times", f, asked)
+		}
+		if verdict != Again {
+			return
+		}
+		if f.Sends >= f.MaxAttempts || f.TimeLeft <= f.Needed {
+			t.Errorf("%+v is sent again", f)
+		}
+		firstArrival := f.Progress == Unsent && f.Sends == 0
+		if !firstArrival && (asked == 0 || !budget) {
+			t.Errorf("%+v is sent again without the budget", f)
+		}
+	})
+}
+
+func TestBegunAnswersAreBroken(t *testing.T) {
+	every(func(f Failure, budget bool) {
+		verdict, _ := decide(f, budget)
+		if f.Started != (verdict == Break) && verdict != Again {
+			t.Errorf("%+v: %v", f, verdict)
+		}
+	})
+}
+
+func TestVerdictsByExample(t *testing.T) {
+	ample := Failure{MaxAttempts: 2, TimeLeft: time.Second, Needed: 20 * time.Millisecond}
+	with := func(change func(*Failure)) Failure {
+		f := ample
+		change(&f)
+		return f
+	}
+	cases := []struct {
+		name    string
+		failure Failure
+		want    Verdict
+	}{
+		{"first instance unreachable", with(func(f *Failure) { f.Dials = 1 }), Again},
+		{"many instances unreachable", with(func(f *Failure) { f.Dials = maxDials }), Refuse},
+		{"shed once", with(func(f *Failure) { f.Progress, f.Sends = NotRun, 1 }), Again},
+		{"shed as often as allowed", with(func(f *Failure) { f.Progress, f.Sends = NotRun, 2 }), Refuse},
+		{"lost, not repeatable", with(func(f *Failure) { f.Progress, f.Sends = MayHaveRun, 1 }), Fail},
+		{"lost, repeatable", with(func(f *Failure) { f.Progress, f.Sends, f.Repeatable = MayHaveRun, 1, true }), Again},
+		{"lost at the deadline", with(func(f *Failure) { f.Progress, f.Sends, f.TimeLeft = MayHaveRun, 1, 0 }), Expire},
+	}
+	for _, tc := range cases {
+		if got, _ := decide(tc.failure, true); got != tc.want {
+			t.Errorf("%s: %v, want %v", tc.name, got, tc.want)
+		}
+	}
+}
+
+func ExampleDecide() {
+	lost := Failure{Progress: MayHaveRun, Sends: 1, MaxAttempts: 2, TimeLeft: time.Second}
+	fmt.Println(Decide(lost, func() bool { return true }))
+	lost.Repeatable = true
+	fmt.Println(Decide(lost, func() bool { return true }))
+	// Output:
+	// fail
+	// again
+}
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -57,6 +57,7 @@
 func deltaFromProto(s *peerpb.StateResponse) mirror.Delta {
 	d := mirror.Delta{
 		Full: s.GetFromRevision() == 0, From: s.GetFromRevision(), Revision: s.GetRevision(), Removed: s.GetRemoved(),
+		Complete: s.GetComplete(),
 	}
 	for _, e := range s.GetEntries() {
 		d.Entries = append(d.Entries, kv.Entry{Key: e.GetKey(), Value: e.GetValue(), ModRevision: e.GetRevision()})
@@ -65,7 +66,7 @@
 }
 
 func deltaToProto(d mirror.Delta) *peerpb.StateResponse {
-	s := &peerpb.StateResponse{Revision: d.Revision, FromRevision: d.From, Removed: d.Removed}
+	s := &peerpb.StateResponse{Revision: d.Revision, FromRevision: d.From, Removed: d.Removed, Complete: d.Complete}
 	for _, e := range d.Entries {
 		s.Entries = append(s.Entries, &peerpb.StateEntry{Key: e.Key, Value: e.Value, Revision: e.ModRevision})
 	}
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -20,8 +20,14 @@
 	// changes are the latest ones in order; they are complete after floor.
 	changes []change
 	floor   int64
+	// gaps are spans of which only the outcome is known: what was written and
+	// removed within is not, so a copy from within a span can't be brought on.
+	gaps []gap
 }
 
+// gap excludes both revisions.
+type gap struct{ from, to int64 }
+
 // change is a record that changed or was removed at a revision.
 type change struct {
 	key      string
@@ -39,6 +45,8 @@
 	Removed  []string
 	From     int64
 	Revision int64
+	// Complete is set when the delta also suits copies between From and Revision.
+	Complete bool
 }
 
 // New returns an empty Mirror.
@@ -79,6 +87,7 @@
 		m.floor = revision
 		return
 	}
+	m.jump(revision)
 	for key, e := range next {
 		if known, ok := m.entries[key]; !ok || known.ModRevision < e.ModRevision {
 			m.note(key, revision)
@@ -91,6 +100,13 @@
 	}
 }
 
+// jump notes that not all changes up to a revision are known.
+func (m *Mirror) jump(revision int64) {
+	if revision > m.revision+1 {
+		m.gaps = append(m.gaps, gap{from: m.revision, to: revision})
+	}
+}
+
 // note keeps a change; the oldest are dropped beyond the bound.
 func (m *Mirror) note(key string, revision int64) {
 	m.changes = append(m.changes, change{key: key, revision: revision})
@@ -99,6 +115,7 @@
 	}
 	m.floor = max(m.floor, m.changes[0].revision)
 	m.changes = slices.Delete(m.changes, 0, 1)
+	m.gaps = slices.DeleteFunc(m.gaps, func(g gap) bool { return g.to <= m.floor })
 }
 
 // Apply takes changes up to a revision, and reports whether any was news.
@@ -133,10 +150,10 @@
 	if have >= m.revision {
 		return Delta{}, false
 	}
-	if have < m.floor {
+	if have < m.floor || m.inGap(have) {
 		return Delta{Full: true, Entries: m.Entries(), Revision: m.revision}, true
 	}
-	d := Delta{From: have, Revision: m.revision}
+	d := Delta{From: have, Revision: m.revision, Complete: m.completeAfter(have)}
 	seen := make(map[string]bool)
 	for _, c := range slices.Backward(m.changes) {
 		if c.revision <= have || seen[c.key] {
@@ -152,8 +169,17 @@
 	return d, true
 }
 
+func (m *Mirror) inGap(revision int64) bool {
+	return slices.ContainsFunc(m.gaps, func(g gap) bool { return g.from < revision && revision < g.to })
+}
+
+// completeAfter reports whether all changes after a revision are known.
+func (m *Mirror) completeAfter(revision int64) bool {
+	return !slices.ContainsFunc(m.gaps, func(g gap) bool { return g.to > revision })
+}
+
 // Merge takes another router's delta, and reports whether it did: false when
-// the copy is newer, or too old for it.
+// the copy is newer, or the delta doesn't suit its revision.
 func (m *Mirror) Merge(d Delta) bool {
 	if d.Revision <= m.revision {
 		return false
@@ -161,7 +187,7 @@
 	if d.Full {
 		return m.Replace(d.Entries, d.Revision)
 	}
-	if d.From > m.revision {
+	if d.From > m.revision || d.From < m.revision && !d.Complete {
 		return false
 	}
 	events := make([]kv.Event, 0, len(d.Entries)+len(d.Removed))
@@ -171,6 +197,7 @@
 	for _, key := range d.Removed {
 		events = append(events, kv.Event{Entry: kv.Entry{Key: key, ModRevision: d.Revision}, Deleted: true})
 	}
+	m.jump(d.Revision)
 	m.Apply(events, d.Revision)
 	return true
 }
--- /dev/null
+++ b/internal/peering/roster_test.go
@@ -0,0 +1,146 @@
+package peering
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+var start = time.Unix(1_800_000_000, 0)
+
+func router(n int) Router {
+	return Router{Name: fmt.Sprintf("r%03d", n), Incarnation: 1, PeerAddress: fmt.Sprintf("10.0.%d.%d:7000", n/250, n%250+1), Accepting: true}
+}
+
+func TestSilentRoutersAreLeftOutAndFoundAgain(t *testing.T) {
+	r := NewRoster("self", 1)
+	r.Hear(start, router(1))
+	changes := r.Tick(start.Add(r.Patience() + 1))
+	if len(changes) != 1 || changes[0].What != WentSilent || len(r.Live()) != 0 {
+		t.Errorf("changes %+v, live %+v", changes, r.Live())
+	}
+	if targets := r.Targets(); len(targets) != 1 {
+		t.Errorf("a silent router is no longer told: %v", targets)
+	}
+	if _, isNew := r.Hear(start.Add(time.Minute), router(1)); !isNew || len(r.Live()) != 1 {
+		t.Error("a router that is heard again is not answered at once")
+	}
+	r.Tick(start.Add(time.Minute + forgetAfter + 1))
+	if r.Sharers() != 1 {
+		t.Error("a router that was silent for long is not forgotten")
+	}
+}
+
+func TestOlderIncarnationsAreIgnored(t *testing.T) {
+	r := NewRoster("self", 1)
+	newer := router(1)
+	newer.Incarnation = 2
+	r.Hear(start, newer)
+	older := router(1)
+	older.Leaving = true
+	if changes, _ := r.Hear(start, older); len(changes) != 0 || r.Live()[0].Leaving {
+		t.Error("a late datagram of an earlier process counts")
+	}
+}
+
+func TestOwnDatagramsAreIgnored(t *testing.T) {
+	r := NewRoster("r001", 1)
+	if changes, isNew := r.Hear(start, router(1)); changes != nil || isNew {
+		t.Error("a router hears itself")
+	}
+}
+
+// The cost of a round is bounded in a fleet of any size, and everyone is told
+// within the patience.
+func TestRoundsAreBounded(t *testing.T) {
+	for _, n := range []int{3, 16, 31, 413} {
+		r := NewRoster("self", 1)
+		for i := range n {
+			r.Hear(start, router(i))
+		}
+		rounds := int(r.Patience()/RoundInterval) / missedRounds
+		told := map[string]bool{}
+		for range rounds {
+			targets := r.Targets()
+			if len(targets) > Fanout {
+				t.Fatalf("%d routers: a round tells %d", n, len(targets))
+			}
+			for _, target := range targets {
+				told[target] = true
+			}
+		}
+		if len(told) != n {
+			t.Errorf("%d routers: %d were told in %d rounds", n, len(told), rounds)
+		}
+	}
+}
+
+func TestListedAddressesAreTried(t *testing.T) {
+	r := NewRoster("self", 1)
+	r.Hear(start, router(1))
+	r.SetListed([]string{router(1).PeerAddress, "10.9.9.9:7000"})
+	targets := r.Targets()
+	if len(targets) != 2 || targets[1] != "10.9.9.9:7000" {
+		t.Errorf("targets %v", targets)
+	}
+}
+
+func TestFollowersInOrder(t *testing.T) {
+	total := 0
+	for i := range 5 {
+		r := NewRoster(router(i).Name, 1)
+		for j := range 5 {
+			other := router(j)
+			other.FollowsStore = true
+			r.Hear(start, other)
+		}
+		all, before := r.Followers()
+		if all != 4 {
+			t.Errorf("router %d sees %d followers", i, all)
+		}
+		total += before
+	}
+	if total != 0+1+2+3+4 {
+		t.Errorf("the routers disagree on who goes first: %d", total)
+	}
+}
+
+func TestLeavingRoutersDoNotFollow(t *testing.T) {
+	r := NewRoster("self", 1)
+	other := router(1)
+	other.FollowsStore, other.Leaving = true, true
+	r.Hear(start, other)
+	if all, _ := r.Followers(); all != 0 {
+		t.Error("a stopping router counts as one that follows the store")
+	}
+}
+
+func TestNewest(t *testing.T) {
+	r := NewRoster("self", 1)
+	if _, ok := r.Newest(); ok {
+		t.Error("a newest router among none")
+	}
+	for i := range 3 {
+		other := router(i)
+		other.StateRevision = int64(10 - i)
+		r.Hear(start, other)
+	}
+	r.Advance(router(2).Name, 20)
+	if newest, _ := r.Newest(); newest.Name != router(2).Name {
+		t.Errorf("newest is %s", newest.Name)
+	}
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add([]byte{})
+	f.Add([]byte("\x0a\x01a"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		received, ok := parse(data)
+		if ok && received.Router.Name == "" {
+			t.Error("a datagram without a sender is taken")
+		}
+		if ok && received.Digest == nil && received.State == nil {
+			t.Error("an empty datagram is taken")
+		}
+	})
+}
--- /dev/null
+++ b/internal/retry/window_test.go
@@ -0,0 +1,101 @@
+package retry
+
+import (
+	"testing"
+	"time"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+)
+
+var testWindow = WindowSettings{Ratio: 0.2, Extra: 56, Length: 10 * time.Second}
+
+// step is one event at one daemon.
+type step struct {
+	daemon int
+	repeat bool
+	pause  time.Duration
+}
+
+// Whatever the order of requests and repeats at any number of daemons, all of
+// them together stay within the fleet's budget in every window.
+func TestWindowsKeepTheFleetsBudget(t *testing.T) {
+	parameters := gopter.DefaultTestParametersWithSeed(2)
+	parameters.MinSuccessfulTests = 200
+	properties := gopter.NewProperties(parameters)
+	properties.Property("sum over all daemons", prop.ForAll(
+		func(daemons int, codes []uint8) bool { return keepsBudget(daemons, steps(daemons, codes)) },
+		gen.IntRange(1, 31), gen.SliceOfN(600, gen.UInt8()),
+	))
+	properties.TestingRun(t)
+}
+
+// steps decodes a random walk: the low bits choose the daemon and the kind.
+func steps(daemons int, codes []uint8) []step {
+	out := make([]step, 0, len(codes))
+	for i, code := range codes {
+		out = append(out, step{
+			daemon: (int(code) + i) % daemons, repeat: code%4 != 0, pause: time.Duration(code%16) * 20 * time.Millisecond,
+		})
+	}
+	return out
+}
+
+func keepsBudget(daemons int, steps []step) bool {
+	windows := make([]*Window, daemons)
+	for i := range windows {
+		windows[i] = NewWindow(testWindow)
+	}
+	now := start
+	var requests, repeats []time.Time
+	for _, s := range steps {
+		now = now.Add(s.pause)
+		switch {
+		case !s.repeat:
+			windows[s.daemon].Requested(now)
+			requests = append(requests, now)
+		case windows[s.daemon].Take(now, daemons, Urgent):
+			repeats = append(repeats, now)
+		}
+		from := now.Add(-testWindow.Length)
+		allowed := testWindow.Ratio*float64(len(after(requests, from))) + testWindow.Extra
+		if float64(len(after(repeats, from))) > allowed {
+			return false
+		}
+	}
+	return true
+}
+
+func TestSpareRepeatsLeaveRoomForUrgentOnes(t *testing.T) {
+	w := NewWindow(testWindow)
+	spare := 0
+	for w.Take(start, 1, Spare) {
+		spare++
+	}
+	if spare == 0 || !w.Take(start, 1, Urgent) {
+		t.Errorf("%d spare repeats, and no urgent one after them", spare)
+	}
+}
+
+func TestWindowForgets(t *testing.T) {
+	w := NewWindow(testWindow)
+	for w.Take(start, 1, Urgent) {
+	}
+	if !w.Take(start.Add(testWindow.Length+time.Millisecond), 1, Urgent) {
+		t.Error("repeats of an earlier window still count")
+	}
+}
+
+func TestMoreDaemonsHaveSmallerShares(t *testing.T) {
+	alone, many := NewWindow(testWindow), NewWindow(testWindow)
+	count := func(w *Window, daemons int) (n int) {
+		for w.Take(start, daemons, Urgent) {
+			n++
+		}
+		return n
+	}
+	if a, b := count(alone, 1), count(many, 31); 31*b > a+31 {
+		t.Errorf("one daemon alone: %d repeats, one of 31: %d", a, b)
+	}
+}
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -4,6 +4,7 @@
 package routing
 
 import (
+	"net"
 	"slices"
 	"strings"
 	"time"
@@ -158,7 +159,7 @@
 		t.services[s.Name] = s
 	}
 	for _, r := range o.Routes {
-		host := strings.ToLower(r.Host)
+		host := hostName(r.Host)
 		if t.routes[host] == nil {
 			t.routes[host] = make(map[string]*Route)
 		}
@@ -185,7 +186,7 @@
 // Match returns the route with the longest prefix of a path; its error is
 // ErrNoRoute. Prefixes begin and end with a slash.
 func (t *Table) Match(host, path string) (*Route, error) {
-	prefixes := t.routes[strings.ToLower(host)]
+	prefixes := t.routes[hostName(host)]
 	for end := strings.LastIndexByte(path, '/'); end >= 0 && len(prefixes) > 0; {
 		if r, ok := prefixes[path[:end+1]]; ok {
 			return r, nil
@@ -195,6 +196,14 @@
 	return nil, ErrNoRoute
 }
 
+// hostName returns a host in lower case, without its port.
+func hostName(host string) string {
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		host = name
+	}
+	return strings.ToLower(host)
+}
+
 // Workspace returns who calls a route with a key; its error is ErrUnknownKey.
 // It is nil for anonymous calls.
 func (t *Table) Workspace(r *Route, key string) (*Workspace, error) {
