--- /dev/null
+++ b/internal/decisionlog/decisionlog_test.go
@@ -0,0 +1,87 @@
+package decisionlog
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/pkg/errors"
+	"github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
+)
+
+// blockedWriter takes nothing until it is released.
+type blockedWriter struct {
+	release chan struct{}
+	mu      sync.Mutex
+	data    bytes.Buffer
+}
+
+func (w *blockedWriter) Write(p []byte) (int, error) {
+	<-w.release
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.data.Write(p)
+}
+
+// A log that can't be written holds nobody up: lines are dropped and counted.
+func TestLinesAreDroppedAndCounted(t *testing.T) {
+	out := &blockedWriter{release: make(chan struct{})}
+	registry := metrics.NewRegistry()
+	l := New(out, logrus.InfoLevel, registry)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error)
+	go func() { done <- l.Run(ctx) }()
+	const lines = 10 * queueLines
+	for range lines {
+		l.Lifecycle("line", nil)
+	}
+	close(out.release)
+	cancel()
+	if err := <-done; err != nil {
+		t.Fatal(err)
+	}
+	written := strings.Count(out.data.String(), "\n")
+	dropped := metrics.GetOrRegisterCounter("log.lines.dropped", registry).Count()
+	if dropped == 0 || int64(written)+dropped != lines {
+		t.Errorf("%d lines written and %d dropped of %d", written, dropped, lines)
+	}
+}
+
+func TestTheRateIsBounded(t *testing.T) {
+	registry := metrics.NewRegistry()
+	var out bytes.Buffer
+	l := New(&out, logrus.InfoLevel, registry)
+	for range 3 * burstLines {
+		l.Decision("decision", nil)
+	}
+	if queued := len(l.lines); queued < burstLines || queued > burstLines+linesPerSecond {
+		t.Errorf("%d lines of a burst were taken", queued)
+	}
+}
+
+func TestLinesAreStructured(t *testing.T) {
+	var out bytes.Buffer
+	l := New(&out, logrus.InfoLevel, metrics.NewRegistry())
+	l.Decision("call placed", Fields{"call": "c1", "load": 3})
+	l.Failure("store lost", errors.New("gone"), Fields{"revision": 7})
+	l.Detail("not shown", nil)
+	l.drain()
+	lines := strings.Split(strings.TrimSpace(out.String()), "\n")
+	if len(lines) != 2 {
+		t.Fatalf("%d lines: %s", len(lines), out.String())
+	}
+	var first, second map[string]any
+	if err := errors.Wrap(json.Unmarshal([]byte(lines[0]), &first), "first"); err != nil {
+		t.Fatal(err)
+	}
+	if err := json.Unmarshal([]byte(lines[1]), &second); err != nil {
+		t.Fatal(err)
+	}
+	if first["msg"] != "call placed" || first["call"] != "c1" || second["error"] != "gone" {
+		t.Errorf("lines %v and %v", first, second)
+	}
+}
