Edge: records count as unconfirmed by their age, however their loss shows

Ruled out: the grace for lapsed entries itself, which works where the loss shows. Change: an unanswered question to the store counts as its loss, and records whose last confirmation is two seconds old are unconfirmed from then on.

--- a/internal/dispatch/balancer.go
+++ b/internal/dispatch/balancer.go
@@ -320,15 +320,19 @@
 	b.logChanges(changes)
 }
 
-// SetListing tells whether the platform's listing can be read.
-func (b *Balancer) SetListing(available bool) {
+// ListingLost tells that the platform's listing was not confirmed since a
+// moment.
+func (b *Balancer) ListingLost(since time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if available {
-		b.registry.ListingBack(b.options.Now())
-		return
-	}
-	b.registry.ListingLost(b.options.Now())
+	b.registry.ListingLost(since)
+}
+
+// ListingBack tells that the platform's listing can be read again.
+func (b *Balancer) ListingBack() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.registry.ListingBack(b.options.Now())
 }
 
 // Tick ends time spans; call it a few times a second.
--- a/internal/edge/confirm.go
+++ b/internal/edge/confirm.go
@@ -5,7 +5,6 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/verbenatrail/verbenatrail/internal/decisionlog"
 	"github.com/verbenatrail/verbenatrail/internal/mirror"
 )
 
@@ -40,12 +39,14 @@
 
 func (s storeConfirmed) apply(c *control, now time.Time) {
 	if s.err != nil {
-		c.edge.options.Log.Detail("revision not confirmed", decisionlog.Fields{"error": s.err.Error()})
+		// The store may hold a watch and yet be gone.
+		c.storeLost(now, s.err)
 		return
 	}
+	c.storeBack()
 	c.records.confirmedRevision = max(c.records.confirmedRevision, s.revision)
 	if s.revision <= c.mirror.Revision() {
-		c.records.freshness.Confirmed(s.asked)
+		c.confirmed(now, s.asked)
 		return
 	}
 	if !c.follow.healthy() {
--- a/internal/edge/control.go
+++ b/internal/edge/control.go
@@ -81,8 +81,9 @@
 // round ends time spans and tells other routers of this one.
 func (c *control) round(now time.Time) {
 	c.edge.balancer.Tick()
-	c.rosterChanged(now, c.roster.Tick(now))
+	c.rosterChanged(c.roster.Tick(now))
 	c.decideFollow(now)
+	c.noteAge(now)
 	c.send(now, c.roster.Targets())
 	c.catchUp(now)
 	c.confirm(now)
@@ -135,7 +136,7 @@
 }
 
 // rosterChanged logs changes and publishes the routers that are in use.
-func (c *control) rosterChanged(now time.Time, changes []peering.Change) {
+func (c *control) rosterChanged(changes []peering.Change) {
 	for _, change := range changes {
 		c.edge.options.Log.Decision("router changed", decisionlog.Fields{
 			"router": change.Router.Name, "what": change.What, "incarnation": change.Router.Incarnation,
@@ -151,5 +152,4 @@
 	live := c.roster.Live()
 	c.edge.routers.Store(&live)
 	c.edge.balancer.SetRouters(c.roster.Sharers())
-	c.noteListing(now)
 }
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -26,8 +26,8 @@
 	lost bool
 	// spareSince is when enough others were first seen to follow.
 	spareSince time.Time
-	// listed is false while no router is known to reach the store.
-	listed bool
+	// unconfirmed is set while the records were not confirmed for long.
+	unconfirmed bool
 }
 
 // healthy reports whether this router follows the store and reaches it.
@@ -50,7 +50,6 @@
 	default:
 		f.spareSince = time.Time{}
 	}
-	c.noteListing(now)
 }
 
 func (c *control) startFollowing(others int) {
@@ -66,23 +65,39 @@
 
 func (c *control) stopFollowing(others int) {
 	c.follow.stop()
-	c.follow = followState{listed: c.follow.listed}
+	c.follow = followState{unconfirmed: c.follow.unconfirmed}
 	c.edge.options.Log.Decision("store left to others", decisionlog.Fields{"others": others, "revision": c.mirror.Revision()})
 }
 
-// noteListing tells the balancer whether any router is known to reach the
-// store: removed instances may return if none does.
-func (c *control) noteListing(now time.Time) {
-	others, _ := c.roster.Followers()
-	listed := c.follow.healthy() || others > 0
-	if listed == c.follow.listed {
+// confirmedWithin is the age from which on records count as unconfirmed: two
+// questions to the store in a row had no answer.
+const confirmedWithin = 2 * time.Second
+
+// noteAge tells the balancer when nothing has confirmed the records for long:
+// entries that are missing afterwards may have lapsed with the store.
+func (c *control) noteAge(now time.Time) {
+	age := c.records.freshness.Age(now)
+	if c.mirror.Revision() == 0 || c.follow.unconfirmed || age < confirmedWithin {
 		return
 	}
-	c.follow.listed = listed
-	c.edge.balancer.SetListing(listed)
-	c.edge.options.Log.Lifecycle("platform's records", decisionlog.Fields{
-		"followed": listed, "by_others": others, "revision": c.mirror.Revision(),
-		"confirmed_age_ms": c.records.freshness.Age(now).Milliseconds(),
+	c.follow.unconfirmed = true
+	c.edge.balancer.ListingLost(now.Add(-age))
+	c.edge.options.Log.Lifecycle("records unconfirmed", decisionlog.Fields{
+		"revision": c.mirror.Revision(), "confirmed_age_ms": age.Milliseconds(),
+	})
+}
+
+// noteConfirmed ends what noteAge began. It comes before the records that are
+// the confirmation.
+func (c *control) noteConfirmed(now time.Time) {
+	c.noteAge(now)
+	if !c.follow.unconfirmed {
+		return
+	}
+	c.follow.unconfirmed = false
+	c.edge.balancer.ListingBack()
+	c.edge.options.Log.Lifecycle("records confirmed again", decisionlog.Fields{
+		"revision": c.mirror.Revision(), "confirmed_age_ms": c.records.freshness.Age(now).Milliseconds(),
 	})
 }
 
@@ -93,12 +108,11 @@
 	}
 	f.up, f.lost = false, true
 	c.edge.options.Log.Failure("store lost", err, decisionlog.Fields{"revision": c.mirror.Revision()})
-	c.noteListing(now)
 	// Another router may take over.
 	c.send(now, c.roster.Targets())
 }
 
-func (c *control) storeBack(now time.Time) {
+func (c *control) storeBack() {
 	f := &c.follow
 	if f.stop == nil || f.up {
 		return
@@ -107,7 +121,6 @@
 		c.edge.options.Log.Lifecycle("store regained", decisionlog.Fields{"revision": c.mirror.Revision()})
 	}
 	f.up, f.lost = true, false
-	c.noteListing(now)
 }
 
 // keptBack makes the follower read everything again: its watch keeps changes
@@ -131,5 +144,13 @@
 	if r.Router.StateRevision > c.mirror.Revision() {
 		return
 	}
-	c.records.freshness.Confirmed(now.Add(-time.Duration(r.Digest.GetConfirmedAgeMs()) * time.Millisecond))
+	c.confirmed(now, now.Add(-time.Duration(r.Digest.GetConfirmedAgeMs())*time.Millisecond))
+}
+
+// confirmed notes that the copy was complete at a moment.
+func (c *control) confirmed(now, at time.Time) {
+	if now.Sub(at) < confirmedWithin {
+		c.noteConfirmed(now)
+	}
+	c.records.freshness.Confirmed(at)
 }
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -18,7 +18,7 @@
 		return
 	}
 	changes, isNew := c.roster.Hear(now, d.received.Router)
-	c.rosterChanged(now, changes)
+	c.rosterChanged(changes)
 	c.edge.balancer.HearPeer(d.received.Router.Name, d.received.Digest)
 	c.hearConfirmation(now, d.received)
 	c.hearStrikes(d.received)
@@ -49,6 +49,7 @@
 	}
 	c.roster.Advance(r.Router.Name, r.State.GetRevision())
 	if c.mirror.Merge(deltaFromProto(r.State)) {
+		c.noteConfirmed(now)
 		c.publish(now)
 	}
 	c.catchUp(now)
--- a/internal/edge/records.go
+++ b/internal/edge/records.go
@@ -42,16 +42,17 @@
 		c.storeLost(now, u.Err)
 		return
 	}
-	c.storeBack(now)
+	c.storeBack()
 	before := c.mirror.Revision()
 	changed := false
 	if u.Full {
-		c.records.freshness.Confirmed(now)
+		c.confirmed(now, now)
 		changed = c.mirror.Replace(u.Entries, u.Revision)
 	} else {
 		changed = c.mirror.Apply(u.Events, u.Revision)
 	}
 	if changed {
+		c.noteConfirmed(now)
 		c.publish(now)
 		c.passOn(now, before)
 	}
@@ -125,6 +126,7 @@
 		return
 	}
 	c.records.behindSince = time.Time{}
+	c.noteConfirmed(now)
 	log.Decision("records fetched", decisionlog.Fields{
 		"router": s.from, "revision": delta.Revision, "had": had, "full": delta.Full,
 		"entries": len(delta.Entries), "removed": len(delta.Removed),
--- a/internal/instances/instances.go
+++ b/internal/instances/instances.go
@@ -132,10 +132,10 @@
 	return &Registry{entries: make(map[string]*entry), services: make(map[string][]*entry)}
 }
 
-// ListingLost tells that the listing can't be read.
-func (r *Registry) ListingLost(now time.Time) {
+// ListingLost tells that the listing was not confirmed since a moment.
+func (r *Registry) ListingLost(since time.Time) {
 	if !r.listingLost {
-		r.listingLost, r.lostAt = true, now
+		r.listingLost, r.lostAt = true, since
 	}
 }
 
