Instances: a call whose time was over makes no suspicion; start without false loss

Cause: calls whose route allows less time than they need made sound engines suspect for 250 ms; a copy from another router counted as unconfirmed for ever.

--- a/internal/dispatch/send.go
+++ b/internal/dispatch/send.go
@@ -193,7 +193,7 @@
 		return failed(attempt.MayHaveRun, instances.Silent, "nothing came within "+e.silence.patience.String())
 	}
 	if !time.Now().Before(e.run.deadline) {
-		return failed(attempt.MayHaveRun, instances.Silent, "deadline reached: "+err.Error())
+		return failed(attempt.MayHaveRun, instances.Late, "deadline reached: "+err.Error())
 	}
 	return failed(attempt.MayHaveRun, instances.Broken, err.Error())
 }
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -77,7 +77,7 @@
 // entries that are missing afterwards may have lapsed with the store.
 func (c *control) noteAge(now time.Time) {
 	age := c.records.freshness.Age(now)
-	if c.mirror.Revision() == 0 || c.follow.unconfirmed || age < confirmedWithin {
+	if !c.records.freshness.Known() || c.follow.unconfirmed || age < confirmedWithin {
 		return
 	}
 	c.follow.unconfirmed = true
--- a/internal/instances/health.go
+++ b/internal/instances/health.go
@@ -59,7 +59,7 @@
 		if h.broken >= brokenToSuspect {
 			h.suspect(now)
 		}
-	case Failed, Shed:
+	case Failed, Shed, Late:
 		h.failures++
 	case Replaced:
 		h.replaced = true
--- a/internal/instances/instances.go
+++ b/internal/instances/instances.go
@@ -68,11 +68,13 @@
 	Shed
 	// Replaced: another instance has the address.
 	Replaced
+	// Late: the call's time was over before an answer came.
+	Late
 )
 
 // String returns the result as logs write it.
 func (r Result) String() string {
-	return [...]string{"succeeded", "unreachable", "broken", "silent", "failed", "shed", "replaced"}[r]
+	return [...]string{"succeeded", "unreachable", "broken", "silent", "failed", "shed", "replaced", "late"}[r]
 }
 
 const (
--- a/internal/instances/instances_test.go
+++ b/internal/instances/instances_test.go
@@ -112,6 +112,16 @@
 	}
 }
 
+// A call may have less time than a sound instance needs.
+func TestALateAnswerAloneIsNoSuspicion(t *testing.T) {
+	r := New()
+	r.Replace(start, listed("a"))
+	r.Report(start, "a", Late, 0)
+	if _, state := r.Get(start, "a"); state != Healthy {
+		t.Errorf("state %v", state)
+	}
+}
+
 func TestHoldsGrowAndEnd(t *testing.T) {
 	r := New()
 	r.Replace(start, listed("a"))
@@ -222,7 +232,7 @@
 			}
 			r.Replace(now, listing)
 		default:
-			r.Report(now, string(rune('a'+code%3)), Result(code%7), float64(code%9))
+			r.Report(now, string(rune('a'+code%3)), Result(code%8), float64(code%9))
 			r.Tick(now)
 		}
 		for _, c := range r.Candidates(now, "s", nil) {
--- a/internal/mirror/freshness.go
+++ b/internal/mirror/freshness.go
@@ -38,6 +38,9 @@
 // KeptBack tells that a watch kept back a change.
 func (f *Freshness) KeptBack(now time.Time) { f.distrustUntil = now.Add(distrustTime) }
 
+// Known reports whether the copy was ever confirmed.
+func (f *Freshness) Known() bool { return !f.confirmed.IsZero() }
+
 // Age returns the time since the copy was last known to be complete.
 func (f *Freshness) Age(now time.Time) time.Duration { return now.Sub(f.confirmed) }
 
