--- a/internal/dispatch/balancer.go
+++ b/internal/dispatch/balancer.go
@@ -85,6 +85,8 @@
 	mean   float64
 	// candidates is the number of instances that were considered.
 	candidates int
+	// loadAge is the age of the oldest word of another router in the loads.
+	loadAge time.Duration
 }
 
 // choose picks an instance and counts the call there; false when there is none.
@@ -103,7 +105,7 @@
 	} else {
 		p = b.chooseByLoad(now, c, candidates)
 	}
-	p.candidates = len(candidates)
+	p.candidates, p.loadAge = len(candidates), b.loads.Age(now)
 	b.loads.Begin(p.instance.ID, p.unread)
 	b.expectHeld(now, p)
 	return p, true
--- a/internal/dispatch/metrics.go
+++ b/internal/dispatch/metrics.go
@@ -19,7 +19,6 @@
 	inFlight  metrics.Counter
 	firstByte metrics.Histogram
 	whole     metrics.Histogram
-	overhead  metrics.Histogram
 }
 
 func newCallMetrics(registry metrics.Registry) *callMetrics {
@@ -32,7 +31,6 @@
 		inFlight:  metrics.GetOrRegisterCounter("calls.in_flight", registry),
 		firstByte: histogram("calls.first_byte.microseconds"),
 		whole:     histogram("calls.whole.microseconds"),
-		overhead:  histogram("calls.placement.microseconds"),
 	}
 }
 
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -119,7 +119,7 @@
 		}
 		b.notRead(p)
 		if r.ctx.Err() != nil {
-			r.outcome = "caller left"
+			r.outcome = "abandoned"
 			return
 		}
 		if !r.sendAgain(p, s) {
@@ -244,8 +244,10 @@
 	r.dispatcher.options.Log.Decision("call placed", decisionlog.Fields{
 		"call": r.call.ID, "route": r.route.Name, "service": r.service, "workspace": r.workspaceName(),
 		"config": r.config, "instance": p.instance.ID, "state": p.state.String(), "load": p.load, "mean": p.mean,
+		"load_age_ms":   p.loadAge.Milliseconds(),
 		"unread_tokens": p.unread, "fetch_from": p.fetchFrom, "candidates": p.candidates,
-		"sends": r.sends, "time_left_ms": time.Until(r.deadline).Milliseconds(), "resume_after": r.stream.lastID,
+		"failed_sends": r.sends, "time_left_ms": time.Until(r.deadline).Milliseconds(),
+		"resume_after": r.stream.lastID,
 	})
 }
 
@@ -257,8 +259,11 @@
 	took := time.Since(r.call.Arrived)
 	m.whole.Update(microseconds(took))
 	fields := decisionlog.Fields{
-		"call": r.call.ID, "outcome": r.outcome, "status": r.status, "took_ms": took.Milliseconds(),
-		"sends": r.sends, "events": r.stream.events,
+		"call": r.call.ID, "outcome": r.outcome, "took_ms": took.Milliseconds(),
+		"failed_sends": r.sends, "events": r.stream.events,
+	}
+	if r.status != 0 {
+		fields["status"] = r.status
 	}
 	if r.refusal != nil {
 		fields["kind"] = string(r.refusal.Kind)
--- a/internal/dispatch/stream.go
+++ b/internal/dispatch/stream.go
@@ -35,7 +35,7 @@
 		}
 		if err := e.passEvent(response, event, !reader.Buffered()); err != nil {
 			e.conn.Close()
-			e.run.outcome = "caller left"
+			e.run.outcome = "abandoned"
 			return sent{answered: true, result: instances.Succeeded, reason: err.Error()}
 		}
 	}
--- a/internal/loadshare/loadshare.go
+++ b/internal/loadshare/loadshare.go
@@ -99,6 +99,17 @@
 // Forget drops an instance that has gone.
 func (t *Table) Forget(instance string) { delete(t.reports, instance) }
 
+// Age returns the age of the oldest word of another router that still counts.
+func (t *Table) Age(now time.Time) time.Duration {
+	age := time.Duration(0)
+	for _, p := range t.peers {
+		if passed := now.Sub(p.at); passed < peerLifetime {
+			age = max(age, passed)
+		}
+	}
+	return age
+}
+
 // Load returns what an instance is thought to hold.
 func (t *Table) Load(now time.Time, instance string) Work {
 	own := t.own[instance]
