--- a/cmd/vt-edge/main.go
+++ b/cmd/vt-edge/main.go
@@ -4,9 +4,11 @@
 
 import (
 	"context"
+	"fmt"
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/sirupsen/logrus"
 	"github.com/spf13/cobra"
@@ -14,35 +16,56 @@
 
 	"github.com/verbenatrail/verbenatrail/internal/decisionlog"
 	"github.com/verbenatrail/verbenatrail/internal/edge"
+	"github.com/verbenatrail/verbenatrail/internal/settings"
 	"github.com/verbenatrail/verbenatrail/internal/telemetry"
 	"github.com/verbenatrail/verbenatrail/platform"
 )
 
+// settingsInterval is the time between two looks at the settings file, which
+// may change without a signal.
+const settingsInterval = 2 * time.Second
+
+// flags are the command line's.
+type flags struct {
+	check    bool
+	logLevel string
+}
+
 func main() {
+	var f flags
 	command := &cobra.Command{
-		Use:           "vt-edge",
-		Short:         "Routes calls on the users' platform; settings come from the file named by " + platform.BootVariable,
+		Use:   "vt-edge",
+		Short: "Routes calls on a platform that keeps the configuration",
+		Long: "Routes calls on a platform that keeps the configuration.\n" +
+			"The environment variable " + platform.BootVariable + " names the settings file.",
 		Args:          cobra.NoArgs,
 		SilenceUsage:  true,
 		SilenceErrors: true,
-		RunE:          func(*cobra.Command, []string) error { return run() },
+		RunE:          func(*cobra.Command, []string) error { return run(f) },
 	}
+	command.Flags().BoolVar(&f.check, "check", false, "check the settings file, tell every mistake and stop")
+	command.Flags().StringVar(&f.logLevel, "log-level", "info", "debug, info, warning or error")
 	if err := command.Execute(); err != nil {
-		logrus.WithError(err).Error("vt-edge stopped")
+		fmt.Fprintln(os.Stderr, "vt-edge:", err)
 		os.Exit(1)
 	}
 }
 
-func run() error {
-	boot, err := platform.ReadBoot()
+func run(f flags) error {
+	level, err := logrus.ParseLevel(f.logLevel)
 	if err != nil {
 		return err
 	}
+	boot, err := platform.ReadBoot()
+	if err != nil || f.check {
+		return err
+	}
 	registry := telemetry.NewRegistry()
-	log := decisionlog.New(os.Stdout, logrus.InfoLevel, registry)
+	log := decisionlog.New(os.Stdout, level, registry)
 	router, err := edge.New(edge.Options{
 		Settings: boot.Edge, Store: platform.NewStore(boot.StoreAddress), Provider: platform.NewRecords(boot.Edge.Name),
-		Codec: platform.Codec{}, Inventory: platform.NewInventory(), Handlers: platform.Handlers(boot.Edge.AddressLifetime), Log: log, Registry: registry,
+		Codec: platform.Codec{}, Inventory: platform.NewInventory(), Handlers: platform.Handlers,
+		Log: log, Registry: registry,
 	})
 	if err != nil {
 		return err
@@ -58,9 +81,9 @@
 	defer stopLogging()
 	var group errgroup.Group
 	group.Go(func() error { return log.Run(logging) })
-	reloads := make(chan os.Signal, 1)
-	signal.Notify(reloads, syscall.SIGHUP)
-	go reload(reloads, router, log)
+	if err := followSettings(ctx, router, log); err != nil {
+		return err
+	}
 	err := router.Run(ctx)
 	stopLogging()
 	if logErr := group.Wait(); err == nil {
@@ -69,14 +92,22 @@
 	return err
 }
 
-// reload reads the settings again at each signal.
-func reload(signals <-chan os.Signal, router *edge.Edge, log *decisionlog.Log) {
-	for range signals {
-		boot, err := platform.ReadBoot()
+// followSettings has changed settings taken until the context ends. Settings
+// with mistakes leave the last ones in force.
+func followSettings(ctx context.Context, router *edge.Edge, log *decisionlog.Log) error {
+	path, err := platform.BootPath()
+	if err != nil {
+		return err
+	}
+	reloads := make(chan os.Signal, 1)
+	signal.Notify(reloads, syscall.SIGHUP)
+	go settings.WatchFile(ctx, path, settingsInterval, reloads, func(data []byte) {
+		boot, err := platform.ParseBoot(data)
 		if err != nil {
 			log.Failure("settings kept", err, nil)
-			continue
+			return
 		}
 		router.Reload(boot.Edge)
-	}
+	})
+	return nil
 }
--- a/internal/dispatch/balancer.go
+++ b/internal/dispatch/balancer.go
@@ -303,6 +303,17 @@
 	b.loads.ForgetPeer(name)
 }
 
+// SetRetries changes the budget of repeats; what was counted is forgotten.
+func (b *Balancer) SetRetries(s retry.WindowSettings) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if s == b.options.Retries {
+		return
+	}
+	b.options.Retries = s
+	clear(b.windows)
+}
+
 // SetRouters sets the number of routers that share the budget of repeats.
 func (b *Balancer) SetRouters(n int) {
 	b.mu.Lock()
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -45,6 +45,8 @@
 	callers  *ingress.Server
 	link     *peering.Link
 
+	settings atomic.Pointer[Settings]
+
 	table   atomic.Pointer[routing.Table]
 	routers atomic.Pointer[[]peering.Router]
 	leaving atomic.Bool
@@ -68,6 +70,8 @@
 		return nil, err
 	}
 	e.link = link
+	settings := o.Settings
+	e.settings.Store(&settings)
 	e.balancer = dispatch.NewBalancer(dispatch.BalancerOptions{
 		Zone: o.Settings.FailureDomain, Retries: o.Settings.Retries, Containment: containment.DefaultSettings(),
 		Log: o.Log, Strike: func(s *peerpb.Strike) { e.post(strikeFound{strike: s}) },
@@ -209,8 +213,19 @@
 	return nil
 }
 
-// Reload takes changed settings. Addresses stay those of the start.
+// Settings returns the settings in force.
+func (e *Edge) Settings() Settings { return *e.settings.Load() }
+
+// Reload takes changed settings. Name and addresses stay those of the start.
 func (e *Edge) Reload(s Settings) {
-	e.options.Log.Lifecycle("settings reloaded", decisionlog.Fields{"seeds": s.Seeds, "router": s.Name})
+	current := e.Settings()
+	current.Seeds, current.GracePeriod, current.AddressLifetime, current.Retries =
+		s.Seeds, s.GracePeriod, s.AddressLifetime, s.Retries
+	e.settings.Store(&current)
+	e.balancer.SetRetries(s.Retries)
+	e.options.Log.Lifecycle("settings reloaded", decisionlog.Fields{
+		"router": current.Name, "seeds": s.Seeds, "grace": s.GracePeriod.String(),
+		"address_lifetime": s.AddressLifetime.String(), "retry_ratio": s.Retries.Ratio, "retry_extra": s.Retries.Extra,
+	})
 	e.post(settingsChanged{seeds: s.Seeds})
 }
--- a/internal/edge/leave.go
+++ b/internal/edge/leave.go
@@ -20,18 +20,18 @@
 // naming this one at once, calls are taken as long as callers may have its
 // address, and those in flight are waited for.
 func (e *Edge) leave(now time.Time) {
-	log := e.options.Log
-	end := now.Add(e.options.Settings.GracePeriod - exitMargin)
-	log.Lifecycle("router leaving", decisionlog.Fields{"router": e.options.Settings.Name, "grace": e.options.Settings.GracePeriod.String()})
+	log, settings := e.options.Log, e.Settings()
+	end := now.Add(settings.GracePeriod - exitMargin)
+	log.Lifecycle("router leaving", decisionlog.Fields{"router": settings.Name, "grace": settings.GracePeriod.String()})
 	e.leaving.Store(true)
 	e.callers.Leave()
 	e.post(leaveAnnounced{})
-	time.Sleep(min(e.options.Settings.AddressLifetime+addressSlack, time.Until(end)/2))
+	time.Sleep(min(settings.AddressLifetime+addressSlack, time.Until(end)/2))
 	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
 	if err := e.callers.Stop(ctx); err != nil {
-		log.Failure("router stopped", err, decisionlog.Fields{"router": e.options.Settings.Name})
+		log.Failure("router stopped", err, decisionlog.Fields{"router": settings.Name})
 		return
 	}
-	log.Lifecycle("router stopped", decisionlog.Fields{"router": e.options.Settings.Name, "after_ms": time.Since(now).Milliseconds()})
+	log.Lifecycle("router stopped", decisionlog.Fields{"router": settings.Name, "after_ms": time.Since(now).Milliseconds()})
 }
