--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -113,17 +113,6 @@
 	p.idle[c.address] = append(p.idle[c.address], c)
 }
 
-// Forget closes the idle connections to an address.
-func (p *Pool) Forget(address string) {
-	p.mu.Lock()
-	kept := p.idle[address]
-	delete(p.idle, address)
-	p.mu.Unlock()
-	for _, c := range kept {
-		c.Close()
-	}
-}
-
 // Run closes stale connections until the context ends, and then all.
 func (p *Pool) Run(ctx context.Context) error {
 	ticker := time.NewTicker(sweepInterval)
