Dispatch: without a configuration and a store, callers are told to come back later

The first list took up to 3 s to be given up, so the store's return was noticed up to 2 s late. Test: TestStartWithoutAnything.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -47,7 +47,9 @@
 	Pool     *upstream.Pool
 	Codec    Codec
 	// Table returns the routes in force, nil before any are known.
-	Table    func() *routing.Table
+	Table func() *routing.Table
+	// Outage reports whether the platform can't be reached.
+	Outage   func() bool
 	Log      *decisionlog.Log
 	Registry metrics.Registry
 }
@@ -69,6 +71,9 @@
 	// startupRetryAfter is when a caller may come back to a router that has no
 	// configuration yet: peers or the platform give one within moments.
 	startupRetryAfter = 300 * time.Millisecond
+	// outageRetryAfter is the same while the platform can't be reached: its
+	// outages last seconds, and callers come back only once or twice.
+	outageRetryAfter = 2 * time.Second
 	// fullRetryAfter is when a place will probably be free at a service whose
 	// instances are all full: a few answers of a model engine.
 	fullRetryAfter = 250 * time.Millisecond
@@ -92,8 +97,7 @@
 func (d *Dispatcher) admit(ctx context.Context, c *call.Call, out Responder) (*run, *refusal.Refusal) {
 	table := d.options.Table()
 	if table == nil {
-		return nil, refusal.New(refusal.NoConfiguration,
-			"this router has no configuration yet: send the call again after the pause").WithRetryAfter(startupRetryAfter)
+		return nil, d.noConfiguration()
 	}
 	route, err := table.Match(c.Host, c.Path)
 	if err != nil {
@@ -110,6 +114,15 @@
 	return r, nil
 }
 
+func (d *Dispatcher) noConfiguration() *refusal.Refusal {
+	after := startupRetryAfter
+	if d.options.Outage() {
+		after = outageRetryAfter
+	}
+	return refusal.New(refusal.NoConfiguration,
+		"this router has no configuration yet: send the call again after the pause").WithRetryAfter(after)
+}
+
 // refuse answers a call that is not sent to any instance.
 func (d *Dispatcher) refuse(c *call.Call, out Responder, r *refusal.Refusal) {
 	d.metrics.refusals(r.Kind).Inc(1)
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -50,6 +50,8 @@
 	table   atomic.Pointer[routing.Table]
 	routers atomic.Pointer[[]peering.Router]
 	leaving atomic.Bool
+	// outage is set while this router follows the store and can't reach it.
+	outage atomic.Bool
 	// newsDue is set while other routers are about to be told what instances
 	// read.
 	newsDue atomic.Bool
@@ -79,7 +81,8 @@
 	})
 	e.pool = upstream.NewPool(o.Registry)
 	dispatcher := dispatch.New(dispatch.Options{
-		Balancer: e.balancer, Pool: e.pool, Codec: o.Codec, Table: e.table.Load, Log: o.Log, Registry: o.Registry,
+		Balancer: e.balancer, Pool: e.pool, Codec: o.Codec, Table: e.table.Load, Outage: e.outage.Load,
+		Log: o.Log, Registry: o.Registry,
 	})
 	e.callers = ingress.New(ingress.Options{
 		Codec: o.Codec, Dispatcher: dispatcher, Table: e.table.Load, Log: o.Log, Registry: o.Registry,
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -66,6 +66,7 @@
 func (c *control) stopFollowing(others int) {
 	c.follow.stop()
 	c.follow = followState{unconfirmed: c.follow.unconfirmed}
+	c.edge.outage.Store(false)
 	c.edge.options.Log.Decision("store left to others", decisionlog.Fields{"others": others, "revision": c.mirror.Revision()})
 }
 
@@ -107,6 +108,7 @@
 		return
 	}
 	f.up, f.lost = false, true
+	c.edge.outage.Store(true)
 	c.edge.options.Log.Failure("store lost", err, decisionlog.Fields{"revision": c.mirror.Revision()})
 	// Another router may take over.
 	c.send(now, c.roster.Targets())
@@ -121,6 +123,7 @@
 		c.edge.options.Log.Lifecycle("store regained", decisionlog.Fields{"revision": c.mirror.Revision()})
 	}
 	f.up, f.lost = true, false
+	c.edge.outage.Store(false)
 }
 
 // keptBack makes the follower read everything again: its watch keeps changes
--- a/internal/mirror/follower.go
+++ b/internal/mirror/follower.go
@@ -17,8 +17,9 @@
 	// which a configuration has to be in force.
 	minRetry = 100 * time.Millisecond
 	maxRetry = 500 * time.Millisecond
-	// listTimeout bounds one list.
-	listTimeout = 3 * time.Second
+	// listTimeout bounds one list: a few answers of a slow store. After a loss of
+	// all machines, nothing is served until the first list is in.
+	listTimeout = 1200 * time.Millisecond
 )
 
 // Update is one step of a Follower.
