Peering: a router whose clock was set back is heard again

Change: a silent router is heard with any incarnation. Test: TestAClockThatWasSetBackHidesNoRouter, which failed first.

--- a/internal/peering/roster.go
+++ b/internal/peering/roster.go
@@ -93,10 +93,12 @@
 		m = &member{silent: true}
 		r.members[router.Name] = m
 	}
-	if ok && router.Incarnation < m.router.Incarnation {
+	if ok && !m.silent && router.Incarnation < m.router.Incarnation {
+		// A late datagram of an earlier process. A silent router may have started
+		// again after its clock was set back.
 		return nil, false
 	}
-	isNew = !ok || m.silent || router.Incarnation > m.router.Incarnation
+	isNew = !ok || m.silent || router.Incarnation != m.router.Incarnation
 	changes = m.hear(now, router)
 	return changes, isNew
 }
--- a/internal/peering/roster_test.go
+++ b/internal/peering/roster_test.go
@@ -43,6 +43,19 @@
 	}
 }
 
+// A router whose clock was set back starts again with a lower incarnation.
+func TestAClockThatWasSetBackHidesNoRouter(t *testing.T) {
+	r := NewRoster("self", 1)
+	before := router(1)
+	before.Incarnation = 100
+	r.Hear(start, before)
+	now := start.Add(r.Patience() + 1)
+	r.Tick(now)
+	if _, isNew := r.Hear(now, router(1)); !isNew || len(r.Live()) != 1 {
+		t.Error("the router is not heard")
+	}
+}
+
 func TestOwnDatagramsAreIgnored(t *testing.T) {
 	r := NewRoster("r001", 1)
 	if changes, isNew := r.Hear(start, router(1)); changes != nil || isNew {
