Loads: sums over routers are kept, so that a choice costs the same with 413 of them

Cause: each choice summed the words of all routers for each engine. Change: sums follow each word; routers that are unheard are forgotten by a tick. Tests and benchmarks of the balancer.

--- a/internal/dispatch/balancer.go
+++ b/internal/dispatch/balancer.go
@@ -351,7 +351,9 @@
 // Tick ends time spans; call it a few times a second.
 func (b *Balancer) Tick() {
 	b.mu.Lock()
-	changes := b.registry.Tick(b.options.Now())
+	now := b.options.Now()
+	b.loads.Tick(now)
+	changes := b.registry.Tick(now)
 	b.forgetLost(changes)
 	b.mu.Unlock()
 	b.logChanges(changes)
--- a/internal/loadshare/loadshare.go
+++ b/internal/loadshare/loadshare.go
@@ -44,14 +44,20 @@
 
 // Table holds the loads that one router knows.
 type Table struct {
-	own     map[string]Work
-	peers   map[string]peer
+	own   map[string]Work
+	peers map[string]peer
+	// totals are the sums over peers, so that the cost of Load doesn't grow with
+	// their number.
+	totals  map[uint32]Work
 	reports map[string]report
 }
 
 // New returns an empty Table.
 func New() *Table {
-	return &Table{own: make(map[string]Work), peers: make(map[string]peer), reports: make(map[string]report)}
+	return &Table{
+		own: make(map[string]Work), peers: make(map[string]peer), totals: make(map[uint32]Work),
+		reports: make(map[string]report),
+	}
 }
 
 // Begin counts a call that this router sends to an instance, with the tokens
@@ -85,11 +91,40 @@
 
 // HearPeer takes the work of another router, by Hash.
 func (t *Table) HearPeer(now time.Time, name string, work map[uint32]Work) {
+	t.ForgetPeer(name)
 	t.peers[name] = peer{at: now, work: work}
+	for hash, w := range work {
+		t.add(hash, w.Calls, w.Reading)
+	}
 }
 
 // ForgetPeer drops a router that has gone.
-func (t *Table) ForgetPeer(name string) { delete(t.peers, name) }
+func (t *Table) ForgetPeer(name string) {
+	for hash, w := range t.peers[name].work {
+		t.add(hash, -w.Calls, -w.Reading)
+	}
+	delete(t.peers, name)
+}
+
+func (t *Table) add(hash uint32, calls, reading int) {
+	total := t.totals[hash]
+	total = Work{Calls: total.Calls + calls, Reading: total.Reading + reading}
+	if total == (Work{}) {
+		delete(t.totals, hash)
+		return
+	}
+	t.totals[hash] = total
+}
+
+// Tick forgets routers that were not heard for long. Call it a few times in
+// each of their lifetimes.
+func (t *Table) Tick(now time.Time) {
+	for name, p := range t.peers {
+		if now.Sub(p.at) >= peerLifetime {
+			t.ForgetPeer(name)
+		}
+	}
+}
 
 // HearInstance takes the number of calls that an instance says it holds.
 func (t *Table) HearInstance(now time.Time, instance string, total int) {
@@ -99,13 +134,11 @@
 // Forget drops an instance that has gone.
 func (t *Table) Forget(instance string) { delete(t.reports, instance) }
 
-// Age returns the age of the oldest word of another router that still counts.
+// Age returns the age of the oldest word of another router.
 func (t *Table) Age(now time.Time) time.Duration {
 	age := time.Duration(0)
 	for _, p := range t.peers {
-		if passed := now.Sub(p.at); passed < peerLifetime {
-			age = max(age, passed)
-		}
+		age = max(age, now.Sub(p.at))
 	}
 	return age
 }
@@ -113,14 +146,9 @@
 // Load returns what an instance is thought to hold.
 func (t *Table) Load(now time.Time, instance string) Work {
 	own := t.own[instance]
-	load := own
-	hash := Hash(instance)
-	for _, p := range t.peers {
-		if now.Sub(p.at) < peerLifetime {
-			load.Calls += p.work[hash].Calls
-			load.Reading += p.work[hash].Reading
-		}
-	}
+	load := t.totals[Hash(instance)]
+	load.Calls += own.Calls
+	load.Reading += own.Reading
 	r, ok := t.reports[instance]
 	if ok && now.Sub(r.at) < reportLifetime {
 		// The instance's own word counts what no router told yet; this router's
--- a/internal/loadshare/loadshare_test.go
+++ b/internal/loadshare/loadshare_test.go
@@ -1,8 +1,13 @@
 package loadshare
 
 import (
+	"fmt"
 	"testing"
 	"time"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
 )
 
 var start = time.Unix(1_800_000_000, 0)
@@ -33,6 +38,11 @@
 	if got := table.Load(start.Add(reportLifetime), "e").Calls; got != 3 {
 		t.Errorf("after the instance's word: %d, want 3", got)
 	}
+	table.Tick(start.Add(peerLifetime - 1))
+	if got := table.Load(start.Add(reportLifetime), "e").Calls; got != 3 {
+		t.Errorf("within the router's lifetime: %d, want 3", got)
+	}
+	table.Tick(start.Add(peerLifetime))
 	if got := table.Load(start.Add(peerLifetime), "e").Calls; got != 0 {
 		t.Errorf("after the router's word: %d, want 0", got)
 	}
@@ -66,3 +76,54 @@
 		t.Errorf("idle instances are told: %v", own)
 	}
 }
+
+// The sums over routers stay those of their last words, in any order of events.
+func TestTotalsAreTheSumsOfTheLastWords(t *testing.T) {
+	parameters := gopter.DefaultTestParametersWithSeed(6)
+	parameters.MinSuccessfulTests = 300
+	properties := gopter.NewProperties(parameters)
+	properties.Property("totals", prop.ForAll(func(codes []uint16) bool {
+		table, words := New(), map[string]map[uint32]Work{}
+		for i, code := range codes {
+			name := string(rune('a' + code%4))
+			if code>>2%3 == 0 {
+				table.ForgetPeer(name)
+				delete(words, name)
+				continue
+			}
+			work := map[uint32]Work{Hash("e"): {Calls: int(code >> 4 % 8), Reading: i}, Hash("f"): {Calls: int(code >> 7 % 8)}}
+			table.HearPeer(start, name, work)
+			words[name] = work
+		}
+		for _, instance := range []string{"e", "f"} {
+			want := Work{}
+			for _, work := range words {
+				want.Calls += work[Hash(instance)].Calls
+				want.Reading += work[Hash(instance)].Reading
+			}
+			if table.Load(start, instance) != want {
+				return false
+			}
+		}
+		return true
+	}, gen.SliceOfN(60, gen.UInt16())))
+	properties.TestingRun(t)
+}
+
+func BenchmarkLoad(b *testing.B) {
+	for _, routers := range []int{4, 31, 413} {
+		b.Run(fmt.Sprint(routers), func(b *testing.B) {
+			table := New()
+			for r := range routers {
+				work := map[uint32]Work{}
+				for e := range 15 {
+					work[Hash(fmt.Sprint((r*15+e)%600))] = Work{Calls: 1}
+				}
+				table.HearPeer(start, fmt.Sprint(r), work)
+			}
+			for b.Loop() {
+				table.Load(start, "7")
+			}
+		})
+	}
+}
