Read-through: files split, house words, unread fields gone; a success without the engine's mark is none

Balancer, instances, placement and store client are split by job; zones are failure domains outside the adapter; what nothing read is no longer decoded.

--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -21,10 +21,6 @@
 // Prompt describes the input of a call of a model engine.
 type Prompt struct {
 	Model string
-	// InputTokens is the length of the prompt, OutputTokens the most that may be
-	// generated.
-	InputTokens  int
-	OutputTokens int
 	// Parts are in the prompt's order; the last belongs to this call alone.
 	Parts []Part
 }
@@ -101,7 +97,6 @@
 type Load struct {
 	Running int
 	Waiting int
-	Slots   int
 }
 
 // Reply is what the head of an instance's answer says about a send.
@@ -112,7 +107,8 @@
 	NotRun bool
 	// WrongInstance is set when another instance has the address now.
 	WrongInstance bool
-	// Genuine is set when the answer carries the instance's own mark.
+	// Genuine is set when the answer carries the instance's own mark, without
+	// which a success is none.
 	Genuine bool
 	// PromisesNotRun is set for statuses that tell a caller that the call has
 	// not run.
--- a/internal/dispatch/balancer_test.go
+++ b/internal/dispatch/balancer_test.go
@@ -31,7 +31,7 @@
 func newTestBalancer(engines int) *testBalancer {
 	t := &testBalancer{now: start}
 	t.Balancer = NewBalancer(BalancerOptions{
-		Zone: "z", Retries: retry.WindowSettings{Ratio: 0.2, Extra: 56, Length: 10 * time.Second},
+		FailureDomain: "z", Retries: retry.WindowSettings{Ratio: 0.2, Extra: 56, Length: 10 * time.Second},
 		Containment: containment.DefaultSettings(), Log: decisionlog.New(io.Discard, logrus.ErrorLevel, metrics.NewRegistry()),
 		News: func() { t.news++ }, Now: func() time.Time { return t.now },
 	})
@@ -43,7 +43,7 @@
 	var out []instances.Instance
 	for i := range engines {
 		out = append(out, instances.Instance{
-			ID: fmt.Sprintf("e-%03d", i), Service: "model", Address: fmt.Sprintf("10.0.%d.%d:80", i/250, i%250), Zone: "z", Slots: 8,
+			ID: fmt.Sprintf("e-%03d", i), Service: "model", Address: fmt.Sprintf("10.0.%d.%d:80", i/250, i%250), FailureDomain: "z", Slots: 8,
 		})
 	}
 	return out
@@ -142,7 +142,7 @@
 		}
 	}
 	for i, want := range []instances.State{instances.Degraded, instances.Healthy, instances.Healthy} {
-		if _, state := b.registry.Get(b.now, listing(3)[i].ID); state != want {
+		if state := b.registry.Candidates(b.now, "model", nil)[i].State; state != want {
 			t.Errorf("engine %d: %v, want %v", i, state, want)
 		}
 	}
--- /dev/null
+++ b/internal/dispatch/beliefs.go
@@ -0,0 +1,131 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/verbenatrail/verbenatrail/internal/decisionlog"
+	"github.com/verbenatrail/verbenatrail/internal/instances"
+	"github.com/verbenatrail/verbenatrail/internal/loadshare"
+	"github.com/verbenatrail/verbenatrail/internal/peerpb"
+	"github.com/verbenatrail/verbenatrail/internal/retry"
+)
+
+// HearStrike takes a strike of another router, and reports whether it was news.
+func (b *Balancer) HearStrike(s *peerpb.Strike) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.crashes.Merge(b.options.Now(), s)
+}
+
+// HearPeer takes what another router tells of its calls.
+func (b *Balancer) HearPeer(name string, d *peerpb.Digest) {
+	work := make(map[uint32]loadshare.Work, len(d.GetLoads()))
+	for _, l := range d.GetLoads() {
+		work[l.GetInstance()] = loadshare.Work{Calls: int(l.GetInFlight()), Reading: int(l.GetReading())}
+	}
+	b.mu.Lock()
+	b.loads.HearPeer(b.options.Now(), name, work)
+	b.mu.Unlock()
+	b.HearHeld(d.GetHeld())
+}
+
+// ForgetPeer drops the loads of a router that has gone.
+func (b *Balancer) ForgetPeer(name string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.loads.ForgetPeer(name)
+}
+
+// SetRetries changes the budget of repeats; what was counted is forgotten.
+func (b *Balancer) SetRetries(s retry.WindowSettings) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if s == b.options.Retries {
+		return
+	}
+	b.options.Retries = s
+	clear(b.windows)
+}
+
+// SetRouters sets the number of routers that share the budget of repeats.
+func (b *Balancer) SetRouters(n int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.routers = max(n, 1)
+}
+
+// SetInstances takes the platform's whole listing.
+func (b *Balancer) SetInstances(listed []instances.Instance) {
+	b.mu.Lock()
+	changes := b.registry.Replace(b.options.Now(), listed)
+	for _, i := range listed {
+		b.names[loadshare.Hash(i.ID)] = i.ID
+	}
+	b.forgetLost(changes)
+	b.mu.Unlock()
+	b.logChanges(changes)
+}
+
+// ListingLost tells that the platform's listing was not confirmed since a
+// moment.
+func (b *Balancer) ListingLost(since time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.registry.ListingLost(since)
+}
+
+// ListingBack tells that the platform's listing can be read again.
+func (b *Balancer) ListingBack() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.registry.ListingBack(b.options.Now())
+}
+
+// Tick ends time spans; call it a few times a second.
+func (b *Balancer) Tick() {
+	b.mu.Lock()
+	now := b.options.Now()
+	b.loads.Tick(now)
+	changes := b.registry.Tick(now)
+	b.forgetLost(changes)
+	b.mu.Unlock()
+	b.logChanges(changes)
+}
+
+// forgetLost drops what is known of instances that have gone or begun anew.
+func (b *Balancer) forgetLost(changes []instances.Change) {
+	for _, change := range changes {
+		if change.State == instances.Gone || change.Reason == instances.ReasonStarted {
+			b.holdings.Forget(change.Instance.ID)
+			b.loads.Forget(change.Instance.ID)
+		}
+		if change.State == instances.Gone {
+			delete(b.names, loadshare.Hash(change.Instance.ID))
+		}
+	}
+}
+
+// InstanceCount returns the number of instances that may take work.
+func (b *Balancer) InstanceCount() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	counts := b.registry.Counts(b.options.Now())
+	return counts[instances.Healthy] + counts[instances.Degraded] + counts[instances.Suspect]
+}
+
+func (b *Balancer) logChanges(changes []instances.Change) {
+	for _, change := range changes {
+		b.options.Log.Decision("instance changed", decisionlog.Fields{
+			"instance": change.Instance.ID, "service": change.Instance.Service,
+			"address": change.Instance.Address, "state": change.State.String(), "reason": change.Reason,
+		})
+	}
+}
+
+// hasOther reports whether a service has a healthy instance besides some.
+func (b *Balancer) hasOther(service string, excluded []string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	candidates := b.registry.Candidates(b.options.Now(), service, excluded)
+	return len(candidates) > 0 && candidates[0].State < instances.Suspect
+}
--- a/internal/dispatch/send.go
+++ b/internal/dispatch/send.go
@@ -134,7 +134,7 @@
 	switch {
 	case e.reply.NotRun:
 		return e.passNotRun(response)
-	case e.reply.CallID == "" && response.StatusCode < http.StatusBadRequest, e.reply.Encoded:
+	case response.StatusCode < http.StatusBadRequest && (e.reply.CallID == "" || !e.reply.Genuine), e.reply.Encoded:
 		e.conn.Close()
 		return failed(attempt.MayHaveRun, instances.Broken, "the answer does not belong to the call")
 	case e.reply.EventStream && response.StatusCode == http.StatusOK:
--- a/internal/edge/confirm.go
+++ b/internal/edge/confirm.go
@@ -5,7 +5,9 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/verbenatrail/verbenatrail/internal/decisionlog"
 	"github.com/verbenatrail/verbenatrail/internal/mirror"
+	"github.com/verbenatrail/verbenatrail/internal/peering"
 )
 
 // storeConfirmed is the store's answer to the question how far it is.
@@ -63,3 +65,51 @@
 		c.startFollowing(others)
 	}
 }
+
+// confirmedWithin is the age from which on records count as unconfirmed: two
+// questions to the store in a row had no answer.
+const confirmedWithin = 2 * time.Second
+
+// noteAge tells the balancer when nothing has confirmed the records for long:
+// entries that are missing afterwards may have lapsed with the store.
+func (c *control) noteAge(now time.Time) {
+	age := c.records.freshness.Age(now)
+	if !c.records.freshness.Known() || c.follow.unconfirmed || age < confirmedWithin {
+		return
+	}
+	c.follow.unconfirmed = true
+	c.edge.balancer.ListingLost(now.Add(-age))
+	c.edge.options.Log.Lifecycle("records unconfirmed", decisionlog.Fields{
+		"revision": c.mirror.Revision(), "confirmed_age_ms": age.Milliseconds(),
+	})
+}
+
+// noteConfirmed ends what noteAge began. It comes before the records that are
+// the confirmation.
+func (c *control) noteConfirmed(now time.Time) {
+	c.noteAge(now)
+	if !c.follow.unconfirmed {
+		return
+	}
+	c.follow.unconfirmed = false
+	c.edge.balancer.ListingBack()
+	c.edge.options.Log.Lifecycle("records confirmed again", decisionlog.Fields{
+		"revision": c.mirror.Revision(), "confirmed_age_ms": c.records.freshness.Age(now).Milliseconds(),
+	})
+}
+
+// hearConfirmation takes another router's word that a copy was complete.
+func (c *control) hearConfirmation(now time.Time, r peering.Received) {
+	if r.Router.StateRevision > c.mirror.Revision() {
+		return
+	}
+	c.confirmed(now, now.Add(-time.Duration(r.Digest.GetConfirmedAgeMs())*time.Millisecond))
+}
+
+// confirmed notes that the copy was complete at a moment.
+func (c *control) confirmed(now, at time.Time) {
+	if now.Sub(at) < confirmedWithin {
+		c.noteConfirmed(now)
+	}
+	c.records.freshness.Confirmed(at)
+}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -75,7 +75,7 @@
 	settings := o.Settings
 	e.settings.Store(&settings)
 	e.balancer = dispatch.NewBalancer(dispatch.BalancerOptions{
-		Zone: o.Settings.FailureDomain, Retries: o.Settings.Retries, Containment: containment.DefaultSettings(),
+		FailureDomain: o.Settings.FailureDomain, Retries: o.Settings.Retries, Containment: containment.DefaultSettings(),
 		Log: o.Log, Strike: func(s *peerpb.Strike) { e.post(strikeFound{strike: s}) },
 		News: e.scheduleNews,
 	})
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -6,7 +6,6 @@
 
 	"github.com/verbenatrail/verbenatrail/internal/decisionlog"
 	"github.com/verbenatrail/verbenatrail/internal/mirror"
-	"github.com/verbenatrail/verbenatrail/internal/peering"
 )
 
 const (
@@ -70,40 +69,13 @@
 	c.edge.options.Log.Decision("store left to others", decisionlog.Fields{"others": others, "revision": c.mirror.Revision()})
 }
 
-// confirmedWithin is the age from which on records count as unconfirmed: two
-// questions to the store in a row had no answer.
-const confirmedWithin = 2 * time.Second
-
-// noteAge tells the balancer when nothing has confirmed the records for long:
-// entries that are missing afterwards may have lapsed with the store.
-func (c *control) noteAge(now time.Time) {
-	age := c.records.freshness.Age(now)
-	if !c.records.freshness.Known() || c.follow.unconfirmed || age < confirmedWithin {
-		return
-	}
-	c.follow.unconfirmed = true
-	c.edge.balancer.ListingLost(now.Add(-age))
-	c.edge.options.Log.Lifecycle("records unconfirmed", decisionlog.Fields{
-		"revision": c.mirror.Revision(), "confirmed_age_ms": age.Milliseconds(),
-	})
-}
-
-// noteConfirmed ends what noteAge began. It comes before the records that are
-// the confirmation.
-func (c *control) noteConfirmed(now time.Time) {
-	c.noteAge(now)
-	if !c.follow.unconfirmed {
-		return
-	}
-	c.follow.unconfirmed = false
-	c.edge.balancer.ListingBack()
-	c.edge.options.Log.Lifecycle("records confirmed again", decisionlog.Fields{
-		"revision": c.mirror.Revision(), "confirmed_age_ms": c.records.freshness.Age(now).Milliseconds(),
-	})
-}
-
+// storeLost takes a failed call of the store.
 func (c *control) storeLost(now time.Time, err error) {
 	f := &c.follow
+	if f.stop == nil {
+		c.edge.options.Log.Detail("store not reached", decisionlog.Fields{"error": err.Error()})
+		return
+	}
 	if f.lost {
 		return
 	}
@@ -114,6 +86,7 @@
 	c.send(now, c.roster.Targets())
 }
 
+// storeBack takes an answer of the store.
 func (c *control) storeBack() {
 	f := &c.follow
 	if f.stop == nil || f.up {
@@ -141,19 +114,3 @@
 	default:
 	}
 }
-
-// hearConfirmation takes another router's word that a copy was complete.
-func (c *control) hearConfirmation(now time.Time, r peering.Received) {
-	if r.Router.StateRevision > c.mirror.Revision() {
-		return
-	}
-	c.confirmed(now, now.Add(-time.Duration(r.Digest.GetConfirmedAgeMs())*time.Millisecond))
-}
-
-// confirmed notes that the copy was complete at a moment.
-func (c *control) confirmed(now, at time.Time) {
-	if now.Sub(at) < confirmedWithin {
-		c.noteConfirmed(now)
-	}
-	c.records.freshness.Confirmed(at)
-}
--- a/internal/edge/records.go
+++ b/internal/edge/records.go
@@ -116,6 +116,7 @@
 	c.records.fetching = false
 	log := c.edge.options.Log
 	if s.err != nil {
+		c.warm.asking = false
 		log.Failure("records not fetched", s.err, decisionlog.Fields{"router": s.from})
 		return
 	}
--- a/internal/edge/warm.go
+++ b/internal/edge/warm.go
@@ -138,21 +138,3 @@
 		c.edge.link.SendState(everyone, state)
 	}
 }
-
-// newsDelay lets what instances read come together in one digest; it is about
-// the time to read a short part.
-const newsDelay = 20 * time.Millisecond
-
-// scheduleNews has other routers told soon what instances read.
-func (e *Edge) scheduleNews() {
-	if e.newsDue.CompareAndSwap(false, true) {
-		time.AfterFunc(newsDelay, func() { e.post(newsDue{}) })
-	}
-}
-
-type newsDue struct{}
-
-func (newsDue) apply(c *control, now time.Time) {
-	c.edge.newsDue.Store(false)
-	c.send(now, c.roster.Targets())
-}
--- a/internal/instances/instances.go
+++ b/internal/instances/instances.go
@@ -9,74 +9,6 @@
 	"time"
 )
 
-// Instance is one listed instance of a service.
-type Instance struct {
-	// ID is new at most starts of an instance.
-	ID      string
-	Service string
-	Address string
-	Zone    string
-	Slots   int
-	// Draining instances finish their work and take none.
-	Draining bool
-	// Born is the start of this run of the instance; an ID may start again.
-	Born time.Time
-	// WarmAt is when the instance reaches its full speed after its start.
-	WarmAt time.Time
-}
-
-// State tells whether an instance may take work.
-type State int
-
-// States of an instance, the most usable first.
-const (
-	// Healthy instances take work.
-	Healthy State = iota
-	// Degraded instances fail or delay more than their peers: they are used
-	// when no healthy one has room.
-	Degraded
-	// Suspect instances could not be reached lately: they are used when there
-	// is no other.
-	Suspect
-	// Draining instances take no work.
-	Draining
-	// Gone instances take no work.
-	Gone
-)
-
-// String returns the state as logs write it.
-func (s State) String() string {
-	return [...]string{"healthy", "degraded", "suspect", "draining", "gone"}[s]
-}
-
-// Result is the outcome of one use of an instance.
-type Result int
-
-// Results of a use.
-const (
-	// Succeeded: a whole answer came.
-	Succeeded Result = iota
-	// Unreachable: no connection could be made.
-	Unreachable
-	// Broken: the connection ended before the answer did.
-	Broken
-	// Silent: nothing came in time.
-	Silent
-	// Failed: the instance answered with its own failure.
-	Failed
-	// Shed: the instance stated that it has not run the call.
-	Shed
-	// Replaced: another instance has the address.
-	Replaced
-	// Late: the call's time was over before an answer came.
-	Late
-)
-
-// String returns the result as logs write it.
-func (r Result) String() string {
-	return [...]string{"succeeded", "unreachable", "broken", "silent", "failed", "shed", "replaced", "late"}[r]
-}
-
 const (
 	// returnGrace is how long an entry that was removed around an outage of the
 	// listing stays in use after the listing is back: the platform restores
@@ -90,23 +22,6 @@
 	leastOutage = 1500 * time.Millisecond
 )
 
-// Candidate is an instance that may take work now.
-type Candidate struct {
-	Instance
-	State State
-}
-
-// ReasonStarted is the reason of the first change of an instance, or of one that
-// started again under its ID.
-const ReasonStarted = "started"
-
-// Change tells that an instance went to another state.
-type Change struct {
-	Instance Instance
-	State    State
-	Reason   string
-}
-
 // entry is what is known about one instance.
 type entry struct {
 	instance Instance
@@ -291,14 +206,6 @@
 	return out
 }
 
-// Get returns an instance and its state; Gone when it isn't known.
-func (r *Registry) Get(now time.Time, id string) (Instance, State) {
-	if e, ok := r.entries[id]; ok {
-		return e.instance, e.state(now)
-	}
-	return Instance{}, Gone
-}
-
 // Counts returns the number of instances by state.
 func (r *Registry) Counts(now time.Time) map[State]int {
 	out := make(map[State]int)
--- a/internal/instances/instances_test.go
+++ b/internal/instances/instances_test.go
@@ -21,6 +21,13 @@
 	return out
 }
 
+func stateOf(r *Registry, now time.Time, id string) State {
+	if e, ok := r.entries[id]; ok {
+		return e.state(now)
+	}
+	return Gone
+}
+
 func ids(candidates []Candidate) string {
 	out := ""
 	for _, c := range candidates {
@@ -107,7 +114,7 @@
 	if got := ids(r.Candidates(at(firstHold), "s", nil)); got != "ab" {
 		t.Errorf("after the hold: %q", got)
 	}
-	if _, state := r.Get(at(firstHold), "a"); state != Healthy {
+	if state := stateOf(r, at(firstHold), "a"); state != Healthy {
 		t.Errorf("after the hold: %v", state)
 	}
 }
@@ -117,7 +124,7 @@
 	r := New()
 	r.Replace(start, listed("a"))
 	r.Report(start, "a", Late, 0)
-	if _, state := r.Get(start, "a"); state != Healthy {
+	if state := stateOf(r, start, "a"); state != Healthy {
 		t.Errorf("state %v", state)
 	}
 }
@@ -130,12 +137,12 @@
 		r.Report(now, "a", Unreachable, 0)
 		now = now.Add(maxHold)
 	}
-	if _, state := r.Get(now.Add(maxHold), "a"); state == Suspect {
+	if state := stateOf(r, now.Add(maxHold), "a"); state == Suspect {
 		t.Error("a hold outlasts its bound")
 	}
 	r.Report(now, "a", Succeeded, 0)
 	r.Report(now, "a", Unreachable, 0)
-	if _, state := r.Get(now.Add(firstHold), "a"); state == Suspect {
+	if state := stateOf(r, now.Add(firstHold), "a"); state == Suspect {
 		t.Error("a success does not shorten the next hold")
 	}
 }
@@ -184,11 +191,11 @@
 	}
 	now := at(time.Second)
 	for id, want := range map[string]State{"a": Degraded, "b": Degraded, "c": Healthy} {
-		if _, state := r.Get(now, id); state != want {
+		if state := stateOf(r, now, id); state != want {
 			t.Errorf("%s: %v, want %v", id, state, want)
 		}
 	}
-	if _, state := r.Get(now.Add(3*memory), "a"); state != Healthy {
+	if state := stateOf(r, now.Add(3*memory), "a"); state != Healthy {
 		t.Errorf("long after its failures: %v", state)
 	}
 }
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -103,9 +103,6 @@
 // Service is one group of interchangeable instances.
 type Service struct {
 	Name string
-	// MaxConnections bounds the connections that an instance accepts from all
-	// routers together; zero when unknown.
-	MaxConnections int
 	// Model is set for services of model engines.
 	Model bool
 }
@@ -121,7 +118,6 @@
 type Limits struct {
 	MaxHeaderBytes int
 	MaxBodyBytes   int
-	HeaderTimeout  time.Duration
 	IdleTimeout    time.Duration
 }
 
