Dispatch: nothing of an ended exchange closes its released connection

Cause: the watch on the caller's context, and the timer over a silent engine, ended after the connection was given back; a caller that left while its answer was written closed the connection under the next call, which may be one that must not be repeated (502). Change: both end before the release, which closes the connection when either fired. Test: TestACallerThatLeavesClosesNoReleasedConnection, which failed first (502).

--- a/internal/dispatch/send.go
+++ b/internal/dispatch/send.go
@@ -71,13 +71,16 @@
 	// firstByte is when the answer began, zero before.
 	firstByte time.Time
 	silence   *silence
+	// unwatch ends the closing of the connection with the caller's context; it
+	// is false when the connection was closed.
+	unwatch   func() bool
 	reply     call.Reply
 	keepAlive time.Duration
 }
 
 func (e *exchange) exchange(ctx context.Context) sent {
-	stopWatching := e.conn.CloseOn(ctx)
-	defer stopWatching()
+	e.unwatch = e.conn.CloseOn(ctx)
+	defer e.unwatch()
 	e.conn.SetReadDeadline(e.run.deadline.Add(strayPause))
 	if err := e.conn.Send(e.request()); err != nil {
 		e.conn.Close()
@@ -198,7 +201,15 @@
 	return failed(attempt.MayHaveRun, instances.Broken, err.Error())
 }
 
-func (e *exchange) release() { e.run.dispatcher.options.Pool.Release(e.conn, e.keepAlive) }
+// release gives the connection back. Nothing of this exchange may close it from
+// then on: another call may use it.
+func (e *exchange) release() {
+	if !e.unwatch() || !e.silence.stop() {
+		e.conn.Close()
+		return
+	}
+	e.run.dispatcher.options.Pool.Release(e.conn, e.keepAlive)
+}
 
 // report tells the balancer what the send says about the instance.
 func (e *exchange) report(s sent) {
--- a/internal/dispatch/silence.go
+++ b/internal/dispatch/silence.go
@@ -1,7 +1,7 @@
 package dispatch
 
 import (
-	"sync/atomic"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -32,7 +32,10 @@
 	patience time.Duration
 	gap      time.Duration
 	timer    *time.Timer
-	over     atomic.Bool
+
+	mu      sync.Mutex
+	stopped bool
+	over    bool
 }
 
 // watchSilence starts the watch over a send; it does nothing for calls that may
@@ -66,21 +69,32 @@
 	}
 }
 
-func (s *silence) stop() {
+// stop ends the watch; false when it has closed the connection.
+func (s *silence) stop() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stopped = true
 	if s.timer != nil {
 		s.timer.Stop()
 	}
+	return !s.over
 }
 
-func (s *silence) gaveUp() bool { return s.over.Load() }
+func (s *silence) gaveUp() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.over
+}
 
 // fire gives up on the instance if the budget of repeats allows another.
 func (s *silence) fire() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	r := s.exchange.run
-	if time.Until(r.deadline) <= r.leastTime() || !r.prepay(s.exchange.pick) {
+	if s.stopped || time.Until(r.deadline) <= r.leastTime() || !r.prepay(s.exchange.pick) {
 		return
 	}
-	s.over.Store(true)
+	s.over = true
 	s.exchange.conn.Close()
 }
 
