--- a/Makefile
+++ b/Makefile
@@ -13,7 +13,7 @@
 	$(GO) test -race -timeout 20m ./...
 
 check:
-	@unformatted=$$(gofmt -l cmd internal test 2>/dev/null); if [ -n "$$unformatted" ]; then echo "gofmt needed: $$unformatted"; exit 1; fi
+	@unformatted=$$(gofmt -l cmd internal platform test 2>/dev/null); if [ -n "$$unformatted" ]; then echo "gofmt needed: $$unformatted"; exit 1; fi
 	$(GO) vet ./...
 	$(TOOL) staticcheck ./...
 	$(MAKE) --no-print-directory generated-current
@@ -27,7 +27,7 @@
 	if [ "$$before" != "$$after" ]; then echo "generated code was stale: commit the output of make generate"; exit 1; fi
 
 fmt:
-	gofmt -w cmd internal test
+	gofmt -w cmd internal platform test
 
 traces: build
 	$(BIN)/vt-replay generate --profile shrestha --seed 1 --duration 40s --out traces/shrestha.jsonl
