--- a/internal/replay/admin.go
+++ b/internal/replay/admin.go
@@ -13,24 +13,33 @@
 // answer.
 const adminTimeout = 200 * time.Millisecond
 
+// commandTimeout bounds one command to an admin page. A command that is given up
+// on may still be carried out, so it has more time than a question: the stand-ins
+// are never frozen, and a busy machine delays them by some hundred milliseconds.
+const commandTimeout = 5 * time.Second
+
 // adminClient reads and changes the admin pages of processes.
 type adminClient struct {
 	http *http.Client
 }
 
 func newAdminClient() *adminClient {
-	return &adminClient{http: &http.Client{Timeout: adminTimeout, Transport: &http.Transport{}}}
+	return &adminClient{http: &http.Client{Transport: &http.Transport{}}}
 }
 
 func (c *adminClient) close() { c.http.CloseIdleConnections() }
 
 // get reads a JSON page.
 func (c *adminClient) get(ctx context.Context, address, path string, into any) error {
+	ctx, cancel := context.WithTimeout(ctx, adminTimeout)
+	defer cancel()
 	return c.do(ctx, sling.New().Base("http://"+address).Get(path), into)
 }
 
 // post sends a JSON body.
 func (c *adminClient) post(ctx context.Context, address, path string, body any) error {
+	ctx, cancel := context.WithTimeout(ctx, commandTimeout)
+	defer cancel()
 	return c.do(ctx, sling.New().Base("http://"+address).Post(path).BodyJSON(body), nil)
 }
 
