--- /dev/null
+++ b/internal/edge/config_test.go
@@ -0,0 +1,112 @@
+package edge
+
+import (
+	"context"
+	"io"
+	"testing"
+	"time"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+	"github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
+
+	"github.com/verbenatrail/verbenatrail/internal/decisionlog"
+	"github.com/verbenatrail/verbenatrail/internal/kv"
+	"github.com/verbenatrail/verbenatrail/internal/mirror"
+	"github.com/verbenatrail/verbenatrail/internal/peerpb"
+	"github.com/verbenatrail/verbenatrail/internal/routing"
+)
+
+const configRecord = "configuration"
+
+// revisionProvider reads a configuration whose revision is its record's value.
+type revisionProvider struct{}
+
+func (revisionProvider) Translate(entries []kv.Entry, _ time.Time) Snapshot {
+	for _, e := range entries {
+		if e.Key == configRecord {
+			return Snapshot{Table: routing.NewTable(routing.Options{Revision: int64(e.Value[0])})}
+		}
+	}
+	return Snapshot{}
+}
+
+func (revisionProvider) Registration(string) (string, []byte) { return "self", nil }
+
+func newTestControl(t *testing.T) *control {
+	t.Helper()
+	registry := metrics.NewRegistry()
+	e, err := New(Options{
+		Settings: Settings{Name: "r", PeerAddress: "127.0.0.1:0"}, Provider: revisionProvider{},
+		Log: decisionlog.New(io.Discard, logrus.ErrorLevel, registry), Registry: registry,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(func() {
+		cancel()
+		// Closes the listener, since the context has ended.
+		_ = e.link.ServeState(ctx, nil)
+	})
+	return newControl(ctx, e)
+}
+
+// Lists, watches, other routers' copies and records of another writer come in
+// any order, late and again: the configuration in force never goes back.
+func TestTheConfigurationInForceNeverGoesBack(t *testing.T) {
+	parameters := gopter.DefaultTestParametersWithSeed(7)
+	parameters.MinSuccessfulTests = 200
+	properties := gopter.NewProperties(parameters)
+	c := newTestControl(t)
+	properties.Property("in force", prop.ForAll(func(codes []uint8) bool {
+		c.mirror, c.records = mirror.New(), recordsState{}
+		c.edge.table.Store(nil)
+		return configStaysNew(c, codes)
+	}, gen.SliceOfN(60, gen.UInt8())))
+	properties.TestingRun(t)
+}
+
+func configStaysNew(c *control, codes []uint8) bool {
+	now := time.Unix(1_800_000_000, 0)
+	var history []kv.Entry
+	highest := int64(0)
+	for i, code := range codes {
+		now = now.Add(10 * time.Millisecond)
+		// Versions rise, but for a writer that sets an older one now and then.
+		version := byte(i + 1)
+		if code%7 == 0 {
+			version = byte(i / 2)
+		}
+		if code%2 == 0 || len(history) == 0 {
+			history = append(history, kv.Entry{Key: configRecord, Value: []byte{version}, ModRevision: int64(len(history) + 1)})
+		}
+		at := history[int(code/8)%len(history)]
+		applyRecord(c, now, code, at)
+		table := c.edge.table.Load()
+		if table == nil {
+			continue
+		}
+		if table.Revision < highest {
+			return false
+		}
+		highest = table.Revision
+	}
+	return true
+}
+
+// applyRecord brings a record by one of the ways.
+func applyRecord(c *control, now time.Time, code uint8, e kv.Entry) {
+	switch code % 3 {
+	case 0:
+		storeUpdate{update: mirror.Update{Full: true, Entries: []kv.Entry{e}, Revision: e.ModRevision}}.apply(c, now)
+	case 1:
+		storeUpdate{update: mirror.Update{Events: []kv.Event{{Entry: e}}, Revision: e.ModRevision}}.apply(c, now)
+	default:
+		stateFetched{from: "other", response: &peerpb.StateResponse{
+			Revision: e.ModRevision, Entries: []*peerpb.StateEntry{{Key: e.Key, Value: e.Value, Revision: e.ModRevision}},
+		}}.apply(c, now)
+	}
+}
--- a/internal/peering/roster_test.go
+++ b/internal/peering/roster_test.go
@@ -2,8 +2,13 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
 )
 
 var start = time.Unix(1_800_000_000, 0)
@@ -144,6 +149,49 @@
 	}
 }
 
+// Whatever is heard in whatever order: routers that were heard within the
+// patience and don't say otherwise are live, silent ones are not, and a late word
+// of an earlier process changes nothing.
+func TestRostersInAnyOrder(t *testing.T) {
+	parameters := gopter.DefaultTestParametersWithSeed(8)
+	parameters.MinSuccessfulTests = 500
+	properties := gopter.NewProperties(parameters)
+	properties.Property("live routers", prop.ForAll(rosterIsTrue, gen.SliceOfN(80, gen.UInt16())))
+	properties.TestingRun(t)
+}
+
+func rosterIsTrue(codes []uint16) bool {
+	r := NewRoster("self", 1)
+	now := start
+	heard := map[string]time.Time{}
+	incarnation := map[string]uint64{}
+	for _, code := range codes {
+		now = now.Add(time.Duration(code%16) * 50 * time.Millisecond)
+		r.Tick(now)
+		said := router(int(code>>4) % 4)
+		said.Incarnation = uint64(code >> 8 % 4)
+		lastHeard, known := heard[said.Name]
+		late := known && now.Sub(lastHeard) <= r.Patience() && said.Incarnation < incarnation[said.Name]
+		r.Hear(now, said)
+		if !late {
+			heard[said.Name], incarnation[said.Name] = now, said.Incarnation
+		}
+		live := r.Live()
+		for _, l := range live {
+			if now.Sub(heard[l.Name]) > r.Patience() || l.Incarnation != incarnation[l.Name] {
+				return false
+			}
+		}
+		for name, at := range heard {
+			isLive := slices.ContainsFunc(live, func(l Router) bool { return l.Name == name })
+			if now.Sub(at) <= r.Patience() && !isLive {
+				return false
+			}
+		}
+	}
+	return true
+}
+
 func FuzzParse(f *testing.F) {
 	f.Add([]byte{})
 	f.Add([]byte("\x0a\x01a"))
