--- a/internal/dispatch/send.go
+++ b/internal/dispatch/send.go
@@ -24,10 +24,9 @@
 	// one connection, and maxForeignBody their size.
 	maxForeign     = 2
 	maxForeignBody = 1 << 20
-	// strayPause is how long a connection's end is awaited by a deadline of the
-	// network poller beyond the call's own, so that the call's verdict is taken
-	// after the deadline.
-	strayPause = time.Millisecond
+	// readSlack is added to the deadline of reads, so that a read that fails for
+	// the call's deadline does so after it and is told from a broken connection.
+	readSlack = time.Millisecond
 )
 
 // sent is what came of one send.
@@ -81,7 +80,7 @@
 func (e *exchange) exchange(ctx context.Context) sent {
 	e.unwatch = e.conn.CloseOn(ctx)
 	defer e.unwatch()
-	e.conn.SetReadDeadline(e.run.deadline.Add(strayPause))
+	e.conn.SetReadDeadline(e.run.deadline.Add(readSlack))
 	if err := e.conn.Send(e.request()); err != nil {
 		e.conn.Close()
 		return failed(attempt.MayHaveRun, instances.Broken, err.Error())
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -24,7 +24,7 @@
 // Codec translates between callers' wire format and calls.
 type Codec interface {
 	// DecodeCall reads a call from its request and body.
-	DecodeCall(r *http.Request, body []byte) (*call.Call, *refusal.Refusal)
+	DecodeCall(r *http.Request, body []byte) *call.Call
 	// WriteRefusal sends a refusal as the whole answer to a call.
 	WriteRefusal(w http.ResponseWriter, callID string, r *refusal.Refusal)
 }
@@ -162,19 +162,16 @@
 		w.Header().Set("Connection", "close")
 	}
 	body, refused := s.readBody(w, r)
-	var c *call.Call
-	if refused == nil {
-		c, refused = s.options.Codec.DecodeCall(r, body)
-	}
+	c := s.options.Codec.DecodeCall(r, body)
+	c.Arrived = arrived
 	if refused == nil && s.closed.Load() {
 		refused = refusal.New(refusal.Leaving, "this router is stopping: send the call to another one").
 			WithRetryAfter(leavingRetryAfter)
 	}
 	if refused != nil {
-		s.refuse(w, r, c, refused)
+		s.refuse(w, c, refused)
 		return
 	}
-	c.Arrived = arrived
 	out := &responder{w: w, codec: s.options.Codec, call: c, leaving: &s.leaving}
 	s.options.Dispatcher.Serve(r.Context(), c, out)
 	if out.broken {
@@ -228,14 +225,10 @@
 	return n
 }
 
-func (s *Server) refuse(w http.ResponseWriter, r *http.Request, c *call.Call, refused *refusal.Refusal) {
-	id := ""
-	if c != nil {
-		id = c.ID
-	}
+func (s *Server) refuse(w http.ResponseWriter, c *call.Call, refused *refusal.Refusal) {
 	s.options.Log.Decision("call refused", decisionlog.Fields{
-		"call": id, "kind": string(refused.Kind), "outcome": string(refused.Outcome),
-		"target": r.RequestURI, "leaving": s.leaving.Load(),
+		"call": c.ID, "kind": string(refused.Kind), "outcome": string(refused.Outcome),
+		"target": c.Target, "leaving": s.leaving.Load(),
 	})
-	s.options.Codec.WriteRefusal(w, id, refused)
+	s.options.Codec.WriteRefusal(w, c.ID, refused)
 }
--- a/internal/peering/link.go
+++ b/internal/peering/link.go
@@ -154,7 +154,7 @@
 	return Received{
 		Router: Router{
 			Name: d.GetFrom(), Incarnation: d.GetIncarnation(), CallerAddress: digest.GetCallerAddress(),
-			PeerAddress: digest.GetPeerAddress(), FailureDomain: digest.GetFailureDomain(),
+			PeerAddress: digest.GetPeerAddress(),
 			Accepting: digest.GetAccepting(), Leaving: digest.GetLeaving(), StateRevision: digest.GetStateRevision(),
 			FollowsStore: digest.GetFollowsStore(),
 		},
--- a/internal/peering/roster.go
+++ b/internal/peering/roster.go
@@ -36,7 +36,6 @@
 	Incarnation   uint64
 	CallerAddress string
 	PeerAddress   string
-	FailureDomain string
 	Accepting     bool
 	Leaving       bool
 	StateRevision int64
