--- a/internal/peering/link.go
+++ b/internal/peering/link.go
@@ -155,7 +155,7 @@
 		Router: Router{
 			Name: d.GetFrom(), Incarnation: d.GetIncarnation(), CallerAddress: digest.GetCallerAddress(),
 			PeerAddress: digest.GetPeerAddress(),
-			Accepting: digest.GetAccepting(), Leaving: digest.GetLeaving(), StateRevision: digest.GetStateRevision(),
+			Accepting:   digest.GetAccepting(), Leaving: digest.GetLeaving(), StateRevision: digest.GetStateRevision(),
 			FollowsStore: digest.GetFollowsStore(),
 		},
 		Digest: digest, Strikes: d.GetStrikes(),
