Edge: one queue of strikes for both fleets, and digests that fit in a datagram

Cause: the control goroutine kept strikes in a list of its own beside the queue of internal/cluster, without its bound: 200 strikes heard between two rounds made a digest of 6,834 bytes, more than a receiver reads, so that the router would have counted as silent while its engines crash. Change: the queue moves to internal/containment and serves both; a digest takes four strikes, 56 loads and 24 held parts. The addresses of settings and records are listed in one place: a reload no longer drops those of the records. Test: TestDigestsFitInADatagram, which failed first.

--- a/internal/cluster/exchange.go
+++ b/internal/cluster/exchange.go
@@ -97,7 +97,7 @@
 		l.perform(now, l.members.HearNews(now, n))
 	}
 	for _, s := range d.GetStrikes() {
-		if l.strikes.add(now, s) {
+		if l.strikes.Add(now, s) {
 			l.options.OnStrike(s)
 		}
 	}
--- a/internal/cluster/loop.go
+++ b/internal/cluster/loop.go
@@ -10,6 +10,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/verbenatrail/verbenatrail/internal/averaging"
+	"github.com/verbenatrail/verbenatrail/internal/containment"
 	"github.com/verbenatrail/verbenatrail/internal/hostlist"
 	"github.com/verbenatrail/verbenatrail/internal/membership"
 	"github.com/verbenatrail/verbenatrail/internal/peerpb"
@@ -49,7 +50,7 @@
 	options Options
 	members *membership.Members
 	average *averaging.Averager
-	strikes *strikeQueue
+	strikes *containment.Queue
 	budget  *budget
 	relays  *relayTable
 	// daemons are the listed routers and directories by name.
@@ -80,7 +81,7 @@
 			Settings: o.Settings.Membership, Seed: o.Seed,
 		}),
 		average:       averaging.New(),
-		strikes:       newStrikeQueue(),
+		strikes:       containment.NewQueue(),
 		budget:        newBudget(o.Settings.BytesPerSecond, o.Registry),
 		relays:        newRelayTable(),
 		daemons:       make(map[string]hostlist.Host),
@@ -145,7 +146,7 @@
 
 func (l *loop) tick(now time.Time) {
 	l.perform(now, l.members.Tick(now))
-	l.strikes.forget(now)
+	l.strikes.Forget(now)
 	l.relays.expire(now)
 }
 
@@ -279,7 +280,7 @@
 
 func (c peerReport) apply(l *loop, _ time.Time) { l.members.ReportRouter(c.name, c.ok) }
 
-func (c strikePublished) apply(l *loop, now time.Time) { l.strikes.add(now, c.strike) }
+func (c strikePublished) apply(l *loop, now time.Time) { l.strikes.Add(now, c.strike) }
 
 // leavingRounds is the number of routers that are told at once of a leave.
 const leavingRounds = 3
@@ -333,7 +334,7 @@
 
 // addGossip fills a datagram with news and strikes for its receiver.
 func (l *loop) addGossip(d *peerpb.Datagram, to string) {
-	d.Strikes = l.strikes.take(len(l.daemons))
+	d.Strikes = l.strikes.Take(strikesPerDatagram, len(l.daemons))
 	for _, n := range l.members.TakeNews(to, maxNews) {
 		if !addNews(d, n) {
 			l.counter("news.no_room").Inc(1)
--- a/internal/cluster/wire.go
+++ b/internal/cluster/wire.go
@@ -11,6 +11,9 @@
 // maxDatagram is the most bytes of a datagram, below the usual path MTU.
 const maxDatagram = 1200
 
+// strikesPerDatagram bounds the strikes in a datagram.
+const strikesPerDatagram = 2
+
 // maxNews is the most pieces of news in a datagram.
 const maxNews = 4
 
--- a/internal/cluster/strikes.go
+++ b/internal/containment/queue.go
@@ -1,4 +1,4 @@
-package cluster
+package containment
 
 import (
 	"math/bits"
@@ -13,8 +13,6 @@
 	// strikeFactor times the logarithm of the fleet's size is how often a
 	// daemon passes on one strike.
 	strikeFactor = 3
-	// strikesPerDatagram bounds the strikes in a datagram.
-	strikesPerDatagram = 2
 	// maxStrikes bounds the strikes that are remembered.
 	maxStrikes = 4096
 )
@@ -29,8 +27,9 @@
 	return strikeKey{fingerprint: s.GetFingerprint(), crash: s.GetCrashId()}
 }
 
-// strikeQueue holds the strikes to pass on and remembers the known ones.
-type strikeQueue struct {
+// Queue holds the strikes to pass on to other daemons and remembers the known
+// ones. It isn't safe for concurrent use.
+type Queue struct {
 	known map[strikeKey]time.Time
 	queue []queuedStrike
 }
@@ -40,10 +39,11 @@
 	sent   int
 }
 
-func newStrikeQueue() *strikeQueue { return &strikeQueue{known: make(map[strikeKey]time.Time)} }
+// NewQueue returns an empty Queue.
+func NewQueue() *Queue { return &Queue{known: make(map[strikeKey]time.Time)} }
 
-// add queues a strike and reports whether it is new.
-func (q *strikeQueue) add(now time.Time, s *peerpb.Strike) bool {
+// Add queues a strike and reports whether it is new.
+func (q *Queue) Add(now time.Time, s *peerpb.Strike) bool {
 	key := keyOfStrike(s)
 	if _, ok := q.known[key]; ok || len(q.known) >= maxStrikes {
 		return false
@@ -53,10 +53,10 @@
 	return true
 }
 
-// take returns the strikes for one datagram, the longest waiting first, in a
-// fleet of that many routers.
-func (q *strikeQueue) take(routers int) []*peerpb.Strike {
-	n := min(strikesPerDatagram, len(q.queue))
+// Take returns up to limit strikes for one datagram, the longest waiting first,
+// in a fleet of that many routers.
+func (q *Queue) Take(limit, routers int) []*peerpb.Strike {
+	n := min(limit, len(q.queue))
 	batch := q.queue[:n:n]
 	q.queue = q.queue[n:]
 	var out []*peerpb.Strike
@@ -70,8 +70,8 @@
 	return out
 }
 
-// forget drops the memory of old strikes.
-func (q *strikeQueue) forget(now time.Time) {
+// Forget drops the memory of old strikes.
+func (q *Queue) Forget(now time.Time) {
 	for key, heard := range q.known {
 		if now.Sub(heard) > strikeMemory {
 			delete(q.known, key)
--- a/internal/dispatch/holdings.go
+++ b/internal/dispatch/holdings.go
@@ -9,10 +9,11 @@
 	"github.com/verbenatrail/verbenatrail/internal/peerpb"
 )
 
-// maxDigestLoads and maxDigestHeld keep a digest within one datagram.
+// maxDigestLoads and maxDigestHeld keep a digest within one datagram: about 13
+// and 16 bytes each.
 const (
-	maxDigestLoads = 60
-	maxDigestHeld  = 50
+	maxDigestLoads = 56
+	maxDigestHeld  = 24
 	// heldRepeat is how long a part that an instance has read is told: a few
 	// rounds, since datagrams may be lost.
 	heldRepeat = time.Second
--- a/internal/edge/control.go
+++ b/internal/edge/control.go
@@ -4,8 +4,10 @@
 	"context"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 
+	"github.com/verbenatrail/verbenatrail/internal/containment"
 	"github.com/verbenatrail/verbenatrail/internal/decisionlog"
 	"github.com/verbenatrail/verbenatrail/internal/mirror"
 	"github.com/verbenatrail/verbenatrail/internal/peering"
@@ -24,9 +26,8 @@
 type settingsChanged struct{ seeds []string }
 
 const (
-	// strikeRounds is the number of rounds in which a strike is repeated, since
-	// datagrams may be lost.
-	strikeRounds = 4
+	// strikesPerDigest keeps a digest within one datagram.
+	strikesPerDigest = 4
 	// leaveDigests is the number of times that leaving is told to everyone.
 	leaveDigests = 3
 )
@@ -37,25 +38,22 @@
 	ctx     context.Context
 	mirror  *mirror.Mirror
 	roster  *peering.Roster
-	strikes []pendingStrike
-	seeds   []string
+	strikes *containment.Queue
+	// seeds and found are peer addresses of the settings and of the records.
+	seeds []string
+	found []string
 	// records is what is known of how current the copy of the records is.
 	records recordsState
 	follow  followState
 	warm    warmState
 }
 
-type pendingStrike struct {
-	strike *peerpb.Strike
-	rounds int
-}
-
 func newControl(ctx context.Context, e *Edge) *control {
 	c := &control{
-		edge: e, ctx: ctx, mirror: mirror.New(), seeds: e.options.Settings.Seeds,
+		edge: e, ctx: ctx, mirror: mirror.New(), seeds: e.options.Settings.Seeds, strikes: containment.NewQueue(),
 		roster: peering.NewRoster(e.options.Settings.Name, rand.Uint64()),
 	}
-	c.roster.SetListed(c.seeds)
+	c.listRouters()
 	// At the first start of the whole system, instances hold nothing.
 	c.warm.complete = e.options.Settings.FirstStart
 	return c
@@ -81,6 +79,7 @@
 // round ends time spans and tells other routers of this one.
 func (c *control) round(now time.Time) {
 	c.edge.balancer.Tick()
+	c.strikes.Forget(now)
 	c.rosterChanged(c.roster.Tick(now))
 	c.decideFollow(now)
 	c.noteAge(now)
@@ -95,16 +94,7 @@
 	if len(to) == 0 {
 		return
 	}
-	strikes := make([]*peerpb.Strike, 0, len(c.strikes))
-	kept := c.strikes[:0]
-	for _, p := range c.strikes {
-		strikes = append(strikes, p.strike)
-		if p.rounds--; p.rounds > 0 {
-			kept = append(kept, p)
-		}
-	}
-	c.strikes = kept
-	c.edge.link.SendDigest(to, c.digest(now), strikes)
+	c.edge.link.SendDigest(to, c.digest(now), c.strikes.Take(strikesPerDigest, c.roster.Sharers()))
 }
 
 func (c *control) digest(now time.Time) *peerpb.Digest {
@@ -120,7 +110,7 @@
 }
 
 func (s strikeFound) apply(c *control, now time.Time) {
-	c.strikes = append(c.strikes, pendingStrike{strike: s.strike, rounds: strikeRounds})
+	c.strikes.Add(now, s.strike)
 	c.send(now, c.roster.Targets())
 }
 
@@ -132,9 +122,12 @@
 
 func (s settingsChanged) apply(c *control, _ time.Time) {
 	c.seeds = s.seeds
-	c.roster.SetListed(s.seeds)
+	c.listRouters()
 }
 
+// listRouters tells the roster where other routers may be found.
+func (c *control) listRouters() { c.roster.SetListed(slices.Concat(c.seeds, c.found)) }
+
 // rosterChanged logs changes and publishes the routers that are in use.
 func (c *control) rosterChanged(changes []peering.Change) {
 	for _, change := range changes {
--- /dev/null
+++ b/internal/edge/datagram_test.go
@@ -0,0 +1,66 @@
+package edge
+
+import (
+	"fmt"
+	"net"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/verbenatrail/verbenatrail/internal/instances"
+	"github.com/verbenatrail/verbenatrail/internal/peering"
+	"github.com/verbenatrail/verbenatrail/internal/peerpb"
+)
+
+// mtuPayload is what a UDP datagram holds on the usual path without fragments.
+const mtuPayload = 1472
+
+// A mass crash of engines makes a strike of each call in flight; other routers
+// must still be able to read the digests.
+func TestDigestsFitInADatagram(t *testing.T) {
+	c := newTestControl(t)
+	other, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = other.Close() }()
+	now := time.Now()
+	c.roster.Hear(now, peering.Router{Name: "other", PeerAddress: other.LocalAddr().String()})
+	var listed []instances.Instance
+	for i := range 200 {
+		listed = append(listed, instances.Instance{ID: fmt.Sprintf("instance-%03d", i), Service: "s", Address: "10.0.0.1:80"})
+	}
+	c.edge.balancer.SetInstances(listed)
+	const strikes = 200
+	for i := range strikes {
+		c.hearStrikes(now, peering.Received{Strikes: []*peerpb.Strike{{
+			Fingerprint: uint64(i + 1), Upstream: listed[i].ID, CrashId: uint64(1000 + i),
+		}}})
+	}
+	buffer := make([]byte, 1<<16)
+	told := map[uint64]bool{}
+	for range strikes {
+		c.send(now, c.roster.Everyone())
+		if err := other.SetReadDeadline(time.Now().Add(10 * time.Second)); err != nil {
+			t.Fatal(err)
+		}
+		n, err := other.Read(buffer)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if n > mtuPayload {
+			t.Fatalf("a digest has %d bytes", n)
+		}
+		d := &peerpb.Datagram{}
+		if err := proto.Unmarshal(buffer[:n], d); err != nil {
+			t.Fatal(err)
+		}
+		for _, strike := range d.GetStrikes() {
+			told[strike.GetFingerprint()] = true
+		}
+	}
+	if len(told) != strikes {
+		t.Errorf("%d of %d strikes were told", len(told), strikes)
+	}
+}
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -21,7 +21,7 @@
 	c.rosterChanged(changes)
 	c.edge.balancer.HearPeer(d.received.Router.Name, d.received.Digest)
 	c.hearConfirmation(now, d.received)
-	c.hearStrikes(d.received)
+	c.hearStrikes(now, d.received)
 	if isNew {
 		c.send(now, []string{d.received.Router.PeerAddress})
 	}
@@ -30,7 +30,7 @@
 }
 
 // hearStrikes takes strikes and passes on those that are news.
-func (c *control) hearStrikes(r peering.Received) {
+func (c *control) hearStrikes(now time.Time, r peering.Received) {
 	for _, strike := range r.Strikes {
 		if !c.edge.balancer.HearStrike(strike) {
 			continue
@@ -38,7 +38,7 @@
 		c.edge.options.Log.Decision("strike heard", decisionlog.Fields{
 			"fingerprint": strike.GetFingerprint(), "instance": strike.GetUpstream(), "router": r.Router.Name,
 		})
-		c.strikes = append(c.strikes, pendingStrike{strike: strike, rounds: 1})
+		c.strikes.Add(now, strike)
 	}
 }
 
--- a/internal/edge/records.go
+++ b/internal/edge/records.go
@@ -141,7 +141,8 @@
 	c.logProblems(snapshot.Problems)
 	c.publishTable(now, snapshot.Table)
 	c.edge.balancer.SetInstances(snapshot.Instances)
-	c.roster.SetListed(append(slices.Clone(c.seeds), snapshot.Routers...))
+	c.found = snapshot.Routers
+	c.listRouters()
 	c.warmUp(now)
 }
 
