--- a/internal/daemon/node.go
+++ b/internal/daemon/node.go
@@ -21,6 +21,7 @@
 	"github.com/verbenatrail/verbenatrail/internal/placement"
 	"github.com/verbenatrail/verbenatrail/internal/relay"
 	"github.com/verbenatrail/verbenatrail/internal/rollout"
+	"github.com/verbenatrail/verbenatrail/internal/serving"
 	"github.com/verbenatrail/verbenatrail/internal/status"
 	"github.com/verbenatrail/verbenatrail/internal/telemetry"
 )
@@ -184,14 +185,7 @@
 
 // serveHTTP serves until the context ends, and then closes at once.
 func serveHTTP(ctx context.Context, listener net.Listener, handler http.Handler) error {
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: closeTimeout}
-	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
-	defer stop()
-	err := server.Serve(listener)
-	if errors.Is(err, http.ErrServerClosed) {
-		return nil
-	}
-	return err
+	return serving.UntilDone(ctx, listener, handler, closeTimeout)
 }
 
 // adminHandler serves metrics, status and readiness.
--- a/internal/daemon/router.go
+++ b/internal/daemon/router.go
@@ -3,12 +3,10 @@
 import (
 	"context"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
 
-	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/errgroup"
 
@@ -22,6 +20,7 @@
 	"github.com/verbenatrail/verbenatrail/internal/relay"
 	"github.com/verbenatrail/verbenatrail/internal/router"
 	"github.com/verbenatrail/verbenatrail/internal/serviceclient"
+	"github.com/verbenatrail/verbenatrail/internal/serving"
 )
 
 // Router is one vt-router process.
@@ -97,7 +96,7 @@
 	group.Go(func() error { return peer.NewServer(listeners.peers, r.handler).Run(running) })
 	group.Go(func() error { return serveHTTP(running, listeners.admin, r.adminHandler(r.status, r.ready)) })
 	callers := router.NewHTTPServer(r.callers)
-	group.Go(func() error { return serveCallers(callers, listeners.callers) })
+	group.Go(func() error { return serving.UntilClosed(callers, listeners.callers) })
 	r.logger.WithField("address", r.settings.Listen.Callers).Info("router started")
 	select {
 	case <-ctx.Done():
@@ -148,11 +147,3 @@
 	page.Loads = r.owner.Loads()
 	return page
 }
-
-func serveCallers(server *http.Server, listener net.Listener) error {
-	err := server.Serve(listener)
-	if errors.Is(err, http.ErrServerClosed) {
-		return nil
-	}
-	return err
-}
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -19,6 +19,7 @@
 	"github.com/verbenatrail/verbenatrail/internal/dispatch"
 	"github.com/verbenatrail/verbenatrail/internal/refusal"
 	"github.com/verbenatrail/verbenatrail/internal/routing"
+	"github.com/verbenatrail/verbenatrail/internal/serving"
 )
 
 // Codec translates between callers' wire format and calls.
@@ -85,10 +86,7 @@
 
 // Serve accepts callers until Stop.
 func (s *Server) Serve(listener net.Listener) error {
-	if err := s.http.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-		return errors.Wrap(err, "callers can't be served")
-	}
-	return nil
+	return errors.Wrap(serving.UntilClosed(s.http, listener), "callers can't be served")
 }
 
 // connState keeps the time since which a connection is idle.
--- /dev/null
+++ b/internal/serving/serving.go
@@ -0,0 +1,28 @@
+// Package serving runs HTTP servers of processes.
+package serving
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// UntilDone serves until the context ends, and then closes at once. The head of
+// a request must come within headerTimeout.
+func UntilDone(ctx context.Context, listener net.Listener, handler http.Handler, headerTimeout time.Duration) error {
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}
+	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
+	defer stop()
+	return UntilClosed(server, listener)
+}
+
+// UntilClosed serves until the server is shut down or closed.
+func UntilClosed(server *http.Server, listener net.Listener) error {
+	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
