Dispatch: what a call had to read is taken off its engine's load once

Cause: a send kept a copy of the choice, so the tokens were taken off at the first byte and again at the end, and calls still reading at the engine counted too few; parts that had been read were dropped when the stream broke later. Change: one choice for a send, which knows whether the prompt was read. Besides, found in the same reading: what a call without an instance is told is decided in internal/attempt alone, readiness looks for one usable instance where it counted all, and following a store that others miss is one condition.

--- a/internal/attempt/attempt.go
+++ b/internal/attempt/attempt.go
@@ -78,7 +78,7 @@
 	if f.mayRepeat() && (f.Progress == Unsent && f.Sends == 0 || budget()) {
 		return Again
 	}
-	return f.end()
+	return End(f)
 }
 
 func (f Failure) mayRepeat() bool {
@@ -95,8 +95,8 @@
 	}
 }
 
-// end is the verdict on a call that isn't sent again.
-func (f Failure) end() Verdict {
+// End returns the verdict on a call that isn't sent again.
+func End(f Failure) Verdict {
 	switch {
 	case f.Started:
 		return Break
--- a/internal/dispatch/balancer.go
+++ b/internal/dispatch/balancer.go
@@ -81,8 +81,10 @@
 	parts     []uint64
 	// unread is the number of shared tokens that the instance has to read.
 	unread int
-	load   int
-	mean   float64
+	// read is set once it has.
+	read bool
+	load int
+	mean float64
 	// candidates is the number of instances that were considered.
 	candidates int
 	// loadAge is the age of the oldest word of another router in the loads.
@@ -91,15 +93,15 @@
 
 // choose picks an instance and counts the call there; false when there is none.
 // The caller must call done.
-func (b *Balancer) choose(c *call.Call, service string, excluded []string) (pick, bool) {
+func (b *Balancer) choose(c *call.Call, service string, excluded []string) (*pick, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.options.Now()
 	candidates := b.registry.Candidates(now, service, excluded)
 	if len(candidates) == 0 {
-		return pick{}, false
+		return nil, false
 	}
-	var p pick
+	var p *pick
 	if len(c.Prompt.Parts) > 0 {
 		p = b.chooseByPrompt(now, c, service, candidates)
 	} else {
@@ -113,7 +115,7 @@
 
 // expectHeld notes that an instance is about to read a prompt's parts, so that
 // calls that share them follow it there, and has other routers told.
-func (b *Balancer) expectHeld(now time.Time, p pick) {
+func (b *Balancer) expectHeld(now time.Time, p *pick) {
 	if len(p.parts) == 0 || !b.holdings.Note(now, p.instance.ID, p.parts) {
 		return
 	}
@@ -123,7 +125,7 @@
 	b.options.News()
 }
 
-func (b *Balancer) chooseByPrompt(now time.Time, c *call.Call, service string, candidates []instances.Candidate) pick {
+func (b *Balancer) chooseByPrompt(now time.Time, c *call.Call, service string, candidates []instances.Candidate) *pick {
 	shared := c.Prompt.Shared()
 	parts := make([]placement.PromptPart, 0, len(shared))
 	for _, part := range shared {
@@ -147,7 +149,7 @@
 	}
 	choice := placement.ChoosePrompt(placement.DefaultPromptSettings(), parts, scored)
 	chosen := candidates[choice.Index]
-	p := pick{
+	p := &pick{
 		instance: chosen.Instance, state: chosen.State, parts: hashes, unread: choice.Unread,
 		load: scored[choice.Index].Load, mean: choice.Mean,
 	}
@@ -160,7 +162,7 @@
 	return p
 }
 
-func (b *Balancer) chooseByLoad(now time.Time, c *call.Call, candidates []instances.Candidate) pick {
+func (b *Balancer) chooseByLoad(now time.Time, c *call.Call, candidates []instances.Candidate) *pick {
 	loaded := make([]placement.LoadCandidate, 0, len(candidates))
 	for _, candidate := range candidates {
 		loaded = append(loaded, placement.LoadCandidate{
@@ -170,17 +172,17 @@
 		})
 	}
 	index, mean := placement.ChooseByLoad(placement.Key(c.ID), loaded)
-	return pick{
+	return &pick{
 		instance: candidates[index].Instance, state: candidates[index].State,
 		load: loaded[index].Load, mean: mean,
 	}
 }
 
 // done ends what choose began.
-func (b *Balancer) done(p pick) {
+func (b *Balancer) done(p *pick) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.loads.Read(p.instance.ID, p.unread)
+	b.readPrompt(p)
 	b.loads.End(p.instance.ID)
 }
 
@@ -188,15 +190,23 @@
 func (b *Balancer) firstByte(p *pick) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.loads.Read(p.instance.ID, p.unread)
-	p.unread = 0
+	b.readPrompt(p)
 }
 
-// notRead tells that an instance did not read what it was expected to.
-func (b *Balancer) notRead(p pick) {
+// readPrompt takes what a call had to read off its instance's load, once.
+func (b *Balancer) readPrompt(p *pick) {
+	if !p.read {
+		p.read = true
+		b.loads.Read(p.instance.ID, p.unread)
+	}
+}
+
+// notRead tells that a send failed: what the instance was expected to read is
+// no longer expected there. It comes before done.
+func (b *Balancer) notRead(p *pick) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if p.unread > 0 {
+	if !p.read && p.unread > 0 {
 		b.holdings.Drop(p.instance.ID, p.parts)
 	}
 }
--- a/internal/dispatch/balancer_test.go
+++ b/internal/dispatch/balancer_test.go
@@ -55,7 +55,7 @@
 	}}}
 }
 
-func (t *testBalancer) mustChoose(tb testing.TB, c *call.Call) pick {
+func (t *testBalancer) mustChoose(tb testing.TB, c *call.Call) *pick {
 	tb.Helper()
 	p, ok := t.choose(c, "model", nil)
 	if !ok {
@@ -79,8 +79,8 @@
 func TestWhatWasNotReadIsForgotten(t *testing.T) {
 	b := newTestBalancer(12)
 	p := b.mustChoose(t, prompt("s"))
-	b.done(p)
 	b.notRead(p)
+	b.done(p)
 	if again := b.mustChoose(t, prompt("s")); again.unread != 8500 {
 		t.Errorf("%+v", again)
 	}
@@ -104,7 +104,7 @@
 func TestPartsComeFromLeavingEngines(t *testing.T) {
 	b := newTestBalancer(3)
 	p := b.mustChoose(t, prompt("s"))
-	b.firstByte(&p)
+	b.firstByte(p)
 	b.done(p)
 	list := listing(3)
 	for i := range list {
@@ -138,7 +138,7 @@
 			if i == 0 {
 				took = 200 * time.Millisecond
 			}
-			b.report(pick{instance: i2}, route, instances.Succeeded, took)
+			b.report(&pick{instance: i2}, route, instances.Succeeded, took)
 		}
 	}
 	for i, want := range []instances.State{instances.Degraded, instances.Healthy, instances.Healthy} {
@@ -169,7 +169,7 @@
 	if _, ok := b.choose(prompt("s"), "model", nil); ok {
 		t.Error("an instance among none")
 	}
-	if b.hasOther("model", nil) || b.InstanceCount() != 0 {
+	if b.hasOther("model", nil) || b.HasInstances() {
 		t.Error("an instance among none")
 	}
 }
--- a/internal/dispatch/beliefs.go
+++ b/internal/dispatch/beliefs.go
@@ -105,12 +105,11 @@
 	}
 }
 
-// InstanceCount returns the number of instances that may take work.
-func (b *Balancer) InstanceCount() int {
+// HasInstances reports whether any instance may take work.
+func (b *Balancer) HasInstances() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	counts := b.registry.Counts(b.options.Now())
-	return counts[instances.Healthy] + counts[instances.Degraded] + counts[instances.Suspect]
+	return b.registry.Usable(b.options.Now())
 }
 
 func (b *Balancer) logChanges(changes []instances.Change) {
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -77,3 +77,41 @@
 		t.Errorf("%d connections for %d calls in a row", opened, calls)
 	}
 }
+
+// What one call had to read is taken off once: calls that are still reading at
+// the engine keep their tokens.
+func TestReadTokensAreTakenOffOnce(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Call", r.Header.Get("Call"))
+		w.Header().Set("Content-Type", "text/event-stream")
+		_, _ = w.Write([]byte("id: 1\ndata: x\n\n"))
+	}))
+	defer server.Close()
+	b := newTestBalancer(0)
+	b.now = time.Now()
+	b.SetInstances([]instances.Instance{{ID: "a", Service: "model", Address: strings.TrimPrefix(server.URL, "http://")}})
+	reading := b.mustChoose(t, prompt("still reading"))
+	registry := metrics.NewRegistry()
+	table := routing.NewTable(routing.Options{Routes: []*routing.Route{
+		{Host: "h", Prefix: "/", Kind: routing.Streaming, MaxAttempts: 1, Targets: []routing.Target{{Service: "model"}}},
+	}})
+	d := New(Options{
+		Balancer: b.Balancer, Pool: upstream.NewPool(registry), Codec: streamCodec{}, Registry: registry, Log: b.options.Log,
+		Table: func() *routing.Table { return table }, Outage: func() bool { return false },
+	})
+	c := prompt("read")
+	c.Method, c.Host, c.Target, c.Path, c.Header, c.Arrived = http.MethodPost, "h", "/", "/", http.Header{}, time.Now()
+	d.Serve(context.Background(), c, &leavingCaller{leave: func() {}})
+	if got := b.loads.Load(b.now, "a").Reading; got != reading.unread {
+		t.Errorf("%d tokens are still to be read, want %d", got, reading.unread)
+	}
+}
+
+// streamCodec answers all calls with streams.
+type streamCodec struct{ plainCodec }
+
+func (c streamCodec) DecodeReply(status int, header http.Header) call.Reply {
+	reply := c.plainCodec.DecodeReply(status, header)
+	reply.EventStream = true
+	return reply
+}
--- a/internal/dispatch/feedback.go
+++ b/internal/dispatch/feedback.go
@@ -14,7 +14,7 @@
 
 // report takes the result of a send. Took is the time to the first byte, zero
 // when it says nothing about the instance's speed.
-func (b *Balancer) report(p pick, route *routing.Route, result instances.Result, took time.Duration) {
+func (b *Balancer) report(p *pick, route *routing.Route, result instances.Result, took time.Duration) {
 	b.mu.Lock()
 	now := b.options.Now()
 	slowness := 0.0
@@ -27,7 +27,7 @@
 }
 
 // heardLoad takes an instance's own word about its load.
-func (b *Balancer) heardLoad(p pick, load *call.Load) {
+func (b *Balancer) heardLoad(p *pick, load *call.Load) {
 	if load == nil {
 		return
 	}
@@ -75,7 +75,7 @@
 }
 
 // crashed gives a strike to a call whose instance crashed while it ran it.
-func (b *Balancer) crashed(p pick, fingerprint uint64) {
+func (b *Balancer) crashed(p *pick, fingerprint uint64) {
 	b.mu.Lock()
 	crash := placement.Key(p.instance.ID)
 	strikes := b.crashes.Crash(b.options.Now(), p.instance.ID, crash, []uint64{fingerprint})
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -112,12 +112,14 @@
 		}
 		r.logPlaced(p)
 		s := r.send(p)
+		if !s.answered {
+			b.notRead(p)
+		}
 		b.done(p)
 		r.dispatcher.metrics.sends(s.result).Inc(1)
 		if s.answered {
 			return
 		}
-		b.notRead(p)
 		if r.ctx.Err() != nil {
 			r.outcome = "abandoned"
 			return
@@ -129,7 +131,7 @@
 }
 
 // sendAgain decides about a failed send; false when the call has ended.
-func (r *run) sendAgain(p pick, s sent) bool {
+func (r *run) sendAgain(p *pick, s sent) bool {
 	r.count(p, s)
 	now := time.Now()
 	verdict := attempt.Decide(attempt.Failure{
@@ -154,7 +156,7 @@
 }
 
 // count takes a failed send into the run's own numbers.
-func (r *run) count(p pick, s sent) {
+func (r *run) count(p *pick, s sent) {
 	r.excluded = append(r.excluded, p.instance.ID)
 	if s.progress == attempt.Unsent {
 		r.dials++
@@ -191,16 +193,9 @@
 
 // noInstance ends a call that no instance may take.
 func (r *run) noInstance() {
-	if r.stream.begun {
-		r.end(attempt.Break, sent{})
-		return
-	}
-	if r.mayHaveRun {
-		r.end(attempt.Fail, sent{reason: "no other instance of the service is in use"})
-		return
-	}
-	r.refuse(refusal.New(refusal.NoLiveUpstream,
-		"no instance of the service can take the call: send it again after the pause").WithRetryAfter(fullRetryAfter))
+	r.end(attempt.End(attempt.Failure{
+		EarlierMayHaveRun: r.mayHaveRun, Started: r.stream.begun, TimeLeft: time.Until(r.deadline),
+	}), sent{})
 }
 
 // end carries out a verdict that ends the call.
@@ -240,7 +235,7 @@
 	r.out.Refuse(refused)
 }
 
-func (r *run) logPlaced(p pick) {
+func (r *run) logPlaced(p *pick) {
 	r.dispatcher.options.Log.Decision("call placed", decisionlog.Fields{
 		"call": r.call.ID, "route": r.route.Name, "service": r.service, "workspace": r.workspaceName(),
 		"config": r.config, "instance": p.instance.ID, "state": p.state.String(), "load": p.load, "mean": p.mean,
--- a/internal/dispatch/send.go
+++ b/internal/dispatch/send.go
@@ -44,7 +44,7 @@
 }
 
 // send sends the call to one instance and passes its answer on.
-func (r *run) send(p pick) sent {
+func (r *run) send(p *pick) sent {
 	ctx, span := telemetry.StartSpan(r.ctx, "send")
 	defer telemetry.EndSpan(span, nil)
 	options := r.dispatcher.options
@@ -53,7 +53,7 @@
 		options.Balancer.report(p, r.route, instances.Unreachable, 0)
 		return failed(attempt.Unsent, instances.Unreachable, err.Error())
 	}
-	e := &exchange{run: r, pick: p, conn: conn, began: time.Now(), unread: p.unread}
+	e := &exchange{run: r, pick: p, conn: conn, began: time.Now()}
 	s := e.exchange(ctx)
 	e.report(s)
 	return s
@@ -62,11 +62,9 @@
 // exchange is one send over one connection.
 type exchange struct {
 	run   *run
-	pick  pick
+	pick  *pick
 	conn  *upstream.Conn
 	began time.Time
-	// unread is the number of shared tokens that had to be read at the start.
-	unread int
 	// firstByte is when the answer began, zero before.
 	firstByte time.Time
 	silence   *silence
@@ -222,7 +220,7 @@
 		took = e.firstByte.Sub(e.began)
 		e.run.dispatcher.metrics.firstByte.Update(microseconds(took))
 	}
-	if e.unread > 0 {
+	if e.pick.unread > 0 {
 		// The time depends on what had to be read.
 		took = 0
 	}
--- a/internal/dispatch/silence.go
+++ b/internal/dispatch/silence.go
@@ -99,7 +99,7 @@
 }
 
 // prepay counts the next repeat if there is another instance to send to.
-func (r *run) prepay(p pick) bool {
+func (r *run) prepay(p *pick) bool {
 	b := r.dispatcher.options.Balancer
 	if !b.hasOther(r.service, append(r.excluded[:len(r.excluded):len(r.excluded)], p.instance.ID)) {
 		return false
--- a/internal/dispatch/stream.go
+++ b/internal/dispatch/stream.go
@@ -44,7 +44,7 @@
 func (e *exchange) heardEvent() {
 	if e.firstByte.IsZero() {
 		e.firstByte = time.Now()
-		e.run.dispatcher.options.Balancer.firstByte(&e.pick)
+		e.run.dispatcher.options.Balancer.firstByte(e.pick)
 	}
 	e.silence.heard()
 }
--- a/internal/edge/confirm.go
+++ b/internal/edge/confirm.go
@@ -51,19 +51,12 @@
 		c.confirmed(now, s.asked)
 		return
 	}
-	if !c.follow.healthy() {
-		c.startFollowingNow()
-	}
-	c.catchUp(now)
-}
-
-// startFollowingNow follows the store although others say that they do: they
-// have not passed on what it holds.
-func (c *control) startFollowingNow() {
 	if c.follow.stop == nil {
+		// Others say that they follow, and have not passed on what the store holds.
 		others, _ := c.roster.Followers()
 		c.startFollowing(others)
 	}
+	c.catchUp(now)
 }
 
 // confirmedWithin is the age from which on records count as unconfirmed: two
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -19,6 +19,7 @@
 	"github.com/verbenatrail/verbenatrail/internal/peering"
 	"github.com/verbenatrail/verbenatrail/internal/peerpb"
 	"github.com/verbenatrail/verbenatrail/internal/routing"
+	"github.com/verbenatrail/verbenatrail/internal/serving"
 	"github.com/verbenatrail/verbenatrail/internal/telemetry"
 	"github.com/verbenatrail/verbenatrail/internal/upstream"
 )
@@ -103,7 +104,7 @@
 
 // Ready reports whether callers should use this router.
 func (e *Edge) Ready() bool {
-	return !e.leaving.Load() && e.table.Load() != nil && e.balancer.InstanceCount() > 0
+	return !e.leaving.Load() && e.table.Load() != nil && e.balancer.HasInstances()
 }
 
 // CallerAddresses returns where callers may connect: this router if it is
@@ -197,7 +198,7 @@
 		if listener == nil {
 			continue
 		}
-		group.Go(func() error { return serve(ctx, listener, handler) })
+		group.Go(func() error { return serving.UntilDone(ctx, listener, handler, sideTimeout) })
 	}
 }
 
@@ -205,17 +206,6 @@
 // addresses.
 const sideTimeout = 5 * time.Second
 
-// serve serves until the context ends, and then closes at once.
-func serve(ctx context.Context, listener net.Listener, handler http.Handler) error {
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: sideTimeout}
-	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
-	defer stop()
-	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-		return errors.Wrap(err, "address can't be served")
-	}
-	return nil
-}
-
 // Settings returns the settings in force.
 func (e *Edge) Settings() Settings { return *e.settings.Load() }
 
--- a/internal/instances/instances.go
+++ b/internal/instances/instances.go
@@ -206,13 +206,14 @@
 	return out
 }
 
-// Counts returns the number of instances by state.
-func (r *Registry) Counts(now time.Time) map[State]int {
-	out := make(map[State]int)
+// Usable reports whether any instance may take work.
+func (r *Registry) Usable(now time.Time) bool {
 	for _, e := range r.entries {
-		out[e.state(now)]++
+		if e.state(now) < Draining {
+			return true
+		}
 	}
-	return out
+	return false
 }
 
 func (e *entry) state(now time.Time) State {
