Regions: callers get routers of their region, instances of another count as busier

Cause: the directory named every router, whatever the caller's region, and of more than 64 the first in name order, so that at 413 routers most would have had no callers. Instances were told apart by failure domain only.

Ruled out: the region's routers alone when there is only one, since its callers would have none left when it dies; a fixed handicap of another region's instances: with many slots it would hold the busiest beyond twice the mean.

Change: digests tell the region; callers of a region with two or more accepting routers are sent to these, a random part of them beyond the limit of an answer. An instance of another region counts as having half of its slots taken, at most the mean load and 2; the way outweighs 1,500 tokens to read.

One region: nothing changes but the random part.

Tests: addresses by region and beyond the limit, distances in both choices, region of the settings and of entries.

--- a/cmd/vt-edge/main.go
+++ b/cmd/vt-edge/main.go
@@ -63,7 +63,7 @@
 	registry := telemetry.NewRegistry()
 	log := decisionlog.New(os.Stdout, level, registry)
 	router, err := edge.New(edge.Options{
-		Settings: boot.Edge, Store: platform.NewStore(boot.StoreAddress), Provider: platform.NewRecords(boot.Edge.Name),
+		Settings: boot.Edge, Store: platform.NewStore(boot.StoreAddress), Provider: platform.NewRecords(boot.Edge.Name, boot.Regions),
 		Codec: platform.Codec{}, Inventory: platform.NewInventory(), Handlers: platform.Handlers,
 		Log: log, Registry: registry,
 	})
--- a/internal/dispatch/balancer.go
+++ b/internal/dispatch/balancer.go
@@ -12,6 +12,7 @@
 	"github.com/verbenatrail/verbenatrail/internal/decisionlog"
 	"github.com/verbenatrail/verbenatrail/internal/instances"
 	"github.com/verbenatrail/verbenatrail/internal/loadshare"
+	"github.com/verbenatrail/verbenatrail/internal/locality"
 	"github.com/verbenatrail/verbenatrail/internal/peerpb"
 	"github.com/verbenatrail/verbenatrail/internal/placement"
 	"github.com/verbenatrail/verbenatrail/internal/retry"
@@ -19,11 +20,11 @@
 
 // BalancerOptions configure a Balancer.
 type BalancerOptions struct {
-	// FailureDomain is this router's.
-	FailureDomain string
-	Retries       retry.WindowSettings
-	Containment   containment.Settings
-	Log           *decisionlog.Log
+	// Place is this router's.
+	Place       locality.Place
+	Retries     retry.WindowSettings
+	Containment containment.Settings
+	Log         *decisionlog.Log
 	// Strike is called for each strike that other routers should hear of. It
 	// must not block.
 	Strike func(*peerpb.Strike)
@@ -139,7 +140,7 @@
 		scored = append(scored, placement.PromptCandidate{
 			Name: candidate.ID, Load: load.Calls, Reading: load.Reading,
 			Depth:    b.holdings.Depth(now, candidate.ID, hashes),
-			Degraded: candidate.State == instances.Degraded,
+			Degraded: candidate.State == instances.Degraded, Distance: b.options.Place.DistanceTo(candidate.Place),
 		})
 	}
 	for _, i := range leaving {
@@ -167,7 +168,7 @@
 	for _, candidate := range candidates {
 		loaded = append(loaded, placement.LoadCandidate{
 			Name: candidate.ID, Load: b.loads.Load(now, candidate.ID).Calls, Slots: candidate.Slots,
-			Near: candidate.FailureDomain == b.options.FailureDomain, Degraded: candidate.State == instances.Degraded,
+			Distance: b.options.Place.DistanceTo(candidate.Place), Degraded: candidate.State == instances.Degraded,
 			Cold: now.Before(candidate.WarmAt),
 		})
 	}
--- a/internal/dispatch/balancer_test.go
+++ b/internal/dispatch/balancer_test.go
@@ -14,6 +14,7 @@
 	"github.com/verbenatrail/verbenatrail/internal/decisionlog"
 	"github.com/verbenatrail/verbenatrail/internal/instances"
 	"github.com/verbenatrail/verbenatrail/internal/loadshare"
+	"github.com/verbenatrail/verbenatrail/internal/locality"
 	"github.com/verbenatrail/verbenatrail/internal/peerpb"
 	"github.com/verbenatrail/verbenatrail/internal/retry"
 	"github.com/verbenatrail/verbenatrail/internal/routing"
@@ -31,7 +32,7 @@
 func newTestBalancer(engines int) *testBalancer {
 	t := &testBalancer{now: start}
 	t.Balancer = NewBalancer(BalancerOptions{
-		FailureDomain: "z", Retries: retry.WindowSettings{Ratio: 0.2, Extra: 56, Length: 10 * time.Second},
+		Place: locality.Place{FailureDomain: "z"}, Retries: retry.WindowSettings{Ratio: 0.2, Extra: 56, Length: 10 * time.Second},
 		Containment: containment.DefaultSettings(), Log: decisionlog.New(io.Discard, logrus.ErrorLevel, metrics.NewRegistry()),
 		News: func() { t.news++ }, Now: func() time.Time { return t.now },
 	})
@@ -43,7 +44,7 @@
 	var out []instances.Instance
 	for i := range engines {
 		out = append(out, instances.Instance{
-			ID: fmt.Sprintf("e-%03d", i), Service: "model", Address: fmt.Sprintf("10.0.%d.%d:80", i/250, i%250), FailureDomain: "z", Slots: 8,
+			ID: fmt.Sprintf("e-%03d", i), Service: "model", Address: fmt.Sprintf("10.0.%d.%d:80", i/250, i%250), Place: locality.Place{FailureDomain: "z"}, Slots: 8,
 		})
 	}
 	return out
--- a/internal/edge/control.go
+++ b/internal/edge/control.go
@@ -100,7 +100,7 @@
 func (c *control) digest(now time.Time) *peerpb.Digest {
 	s := c.edge.options.Settings
 	d := &peerpb.Digest{
-		CallerAddress: s.CallerAddress, PeerAddress: s.PeerAddress,
+		CallerAddress: s.CallerAddress, PeerAddress: s.PeerAddress, Region: s.Place.Region,
 		Accepting: c.edge.Ready(), Leaving: c.edge.leaving.Load(), StateRevision: c.mirror.Revision(),
 		ConfirmedAgeMs: uint32(min(c.records.freshness.Age(now).Milliseconds(), math.MaxUint32)),
 		FollowsStore:   c.follow.healthy(),
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -76,7 +77,7 @@
 	settings := o.Settings
 	e.settings.Store(&settings)
 	e.balancer = dispatch.NewBalancer(dispatch.BalancerOptions{
-		FailureDomain: o.Settings.FailureDomain, Retries: o.Settings.Retries, Containment: containment.DefaultSettings(),
+		Place: o.Settings.Place, Retries: o.Settings.Retries, Containment: containment.DefaultSettings(),
 		Log: o.Log, Strike: func(s *peerpb.Strike) { e.post(strikeFound{strike: s}) },
 		News: e.scheduleNews,
 	})
@@ -107,19 +108,16 @@
 	return !e.leaving.Load() && e.table.Load() != nil && e.balancer.HasInstances()
 }
 
-// CallerAddresses returns where callers may connect: this router if it is
-// ready, and the others that were heard lately.
-func (e *Edge) CallerAddresses() []string {
-	var out []string
+// CallerAddresses returns up to limit addresses where callers of a region may
+// connect: of this router if it is ready, and of others that were heard lately.
+func (e *Edge) CallerAddresses(region string, limit int) []string {
+	routers := *e.routers.Load()
 	if e.Ready() {
-		out = append(out, e.options.Settings.CallerAddress)
+		routers = append(routers[:len(routers):len(routers)], peering.Router{
+			CallerAddress: e.options.Settings.CallerAddress, Region: e.options.Settings.Place.Region, Accepting: true,
+		})
 	}
-	for _, r := range *e.routers.Load() {
-		if r.Accepting && !r.Leaving && r.CallerAddress != "" {
-			out = append(out, r.CallerAddress)
-		}
-	}
-	return out
+	return peering.CallerAddresses(routers, region, limit, rand.Shuffle)
 }
 
 // Run serves until the context ends, and then leaves without cutting calls.
--- a/internal/edge/provider.go
+++ b/internal/edge/provider.go
@@ -11,6 +11,7 @@
 	"github.com/verbenatrail/verbenatrail/internal/ingress"
 	"github.com/verbenatrail/verbenatrail/internal/instances"
 	"github.com/verbenatrail/verbenatrail/internal/kv"
+	"github.com/verbenatrail/verbenatrail/internal/locality"
 	"github.com/verbenatrail/verbenatrail/internal/retry"
 	"github.com/verbenatrail/verbenatrail/internal/routing"
 )
@@ -42,8 +43,8 @@
 
 // Settings are what a router needs to know about itself and its promises.
 type Settings struct {
-	Name          string
-	FailureDomain string
+	Name  string
+	Place locality.Place
 	// CallerAddress, PeerAddress and ReadyAddress are IP numbers and ports;
 	// DirectoryAddress is where callers ask which router to use.
 	CallerAddress    string
--- a/internal/instances/types.go
+++ b/internal/instances/types.go
@@ -1,6 +1,10 @@
 package instances
 
-import "time"
+import (
+	"time"
+
+	"github.com/verbenatrail/verbenatrail/internal/locality"
+)
 
 // Instance is one listed instance of a service.
 type Instance struct {
@@ -8,9 +12,8 @@
 	ID      string
 	Service string
 	Address string
-	// FailureDomain is where the instance runs.
-	FailureDomain string
-	Slots         int
+	Place   locality.Place
+	Slots   int
 	// Draining instances finish their work and take none.
 	Draining bool
 	// Born is the start of this run of the instance; an ID may start again.
--- /dev/null
+++ b/internal/peering/addresses_test.go
@@ -0,0 +1,66 @@
+package peering
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+)
+
+// fleetIn returns accepting routers of a region, with addresses of their own.
+func fleetIn(region string, n int) []Router {
+	out := make([]Router, n)
+	for i := range out {
+		out[i] = Router{CallerAddress: fmt.Sprintf("%s:%d", region, i), Region: region, Accepting: true}
+	}
+	return out
+}
+
+func shuffler(seed uint64) func(int, func(i, j int)) {
+	return rand.New(rand.NewPCG(seed, 0)).Shuffle
+}
+
+func TestCallersGetRoutersOfTheirRegion(t *testing.T) {
+	routers := append(fleetIn("east", 2), fleetIn("west", 1)...)
+	cases := []struct {
+		name, region string
+		want         int
+	}{
+		{"enough in the region", "east", 2},
+		{"one in the region", "west", 3},
+		{"a region without routers", "north", 3},
+		{"no region told", "", 3},
+	}
+	for _, tc := range cases {
+		if got := CallerAddresses(routers, tc.region, 64, shuffler(1)); len(got) != tc.want {
+			t.Errorf("%s: %v", tc.name, got)
+		}
+	}
+	routers[0].Leaving = true
+	if got := CallerAddresses(routers, "east", 64, shuffler(1)); len(got) != 2 || slices.Contains(got, "east:0") {
+		t.Errorf("with one leaving: %v", got)
+	}
+}
+
+// Beyond the limit, no router is left without callers.
+func TestAllRoutersGetCallers(t *testing.T) {
+	const limit, answers = 64, 400
+	routers := fleetIn("east", 413)
+	shuffle := shuffler(2)
+	named := map[string]int{}
+	for range answers {
+		got := CallerAddresses(routers, "east", limit, shuffle)
+		if len(got) != limit {
+			t.Fatalf("%d addresses", len(got))
+		}
+		for _, address := range got {
+			named[address]++
+		}
+	}
+	// Each is expected 62 times; half of that is four standard deviations away.
+	for _, r := range routers {
+		if named[r.CallerAddress] < limit*answers/len(routers)/2 {
+			t.Errorf("%s was named %d times", r.CallerAddress, named[r.CallerAddress])
+		}
+	}
+}
--- a/internal/peering/link.go
+++ b/internal/peering/link.go
@@ -154,8 +154,8 @@
 	return Received{
 		Router: Router{
 			Name: d.GetFrom(), Incarnation: d.GetIncarnation(), CallerAddress: digest.GetCallerAddress(),
-			PeerAddress: digest.GetPeerAddress(),
-			Accepting:   digest.GetAccepting(), Leaving: digest.GetLeaving(), StateRevision: digest.GetStateRevision(),
+			PeerAddress: digest.GetPeerAddress(), Region: digest.GetRegion(),
+			Accepting: digest.GetAccepting(), Leaving: digest.GetLeaving(), StateRevision: digest.GetStateRevision(),
 			FollowsStore: digest.GetFollowsStore(),
 		},
 		Digest: digest, Strikes: d.GetStrikes(),
--- a/internal/peering/roster.go
+++ b/internal/peering/roster.go
@@ -36,6 +36,8 @@
 	Incarnation   uint64
 	CallerAddress string
 	PeerAddress   string
+	// Region is empty when it isn't known.
+	Region        string
 	Accepting     bool
 	Leaving       bool
 	StateRevision int64
--- a/internal/placement/prompt.go
+++ b/internal/placement/prompt.go
@@ -1,5 +1,7 @@
 package placement
 
+import "github.com/verbenatrail/verbenatrail/internal/locality"
+
 // PromptPart is one piece of a prompt. A cached piece counts only if all pieces
 // before it are cached too.
 type PromptPart struct {
@@ -20,6 +22,7 @@
 	Degraded bool
 	// SourceOnly engines take no calls, but parts can be fetched from them.
 	SourceOnly bool
+	Distance   locality.Distance
 }
 
 // PromptSettings weigh cached parts against load.
@@ -38,11 +41,17 @@
 	// ReadingWeight is what a token that is to be read for other calls first
 	// counts, against one of this call: it may be one of its own parts.
 	ReadingWeight float64
+	// RegionTokens is the number of tokens to read that the way to another region
+	// outweighs.
+	RegionTokens float64
 }
 
 // DefaultPromptSettings returns the weights that daemons use.
 func DefaultPromptSettings() PromptSettings {
-	return PromptSettings{BoundFactor: 1.8, BoundExtra: 2.5, HomeFactor: 1.4, HomeExtra: 2, LoadTokens: 60, ReadingWeight: 0.7}
+	return PromptSettings{
+		BoundFactor: 1.8, BoundExtra: 2.5, HomeFactor: 1.4, HomeExtra: 2, LoadTokens: 60, ReadingWeight: 0.7,
+		RegionTokens: 1500,
+	}
 }
 
 // PromptChoice is the decision about one prompt.
@@ -128,6 +137,9 @@
 	bound := factor*mean + extra
 	over := float64(c.Load+1) > bound
 	cost := float64(unread(parts, c.Depth)) + s.ReadingWeight*float64(c.Reading) + s.LoadTokens*max(0, float64(c.Load)-mean)
+	if c.Distance == locality.OtherRegion {
+		cost += s.RegionTokens
+	}
 	if over {
 		// Beyond the bound, evenness alone counts.
 		cost = float64(c.Load)
--- a/internal/placement/prompt_test.go
+++ b/internal/placement/prompt_test.go
@@ -8,6 +8,8 @@
 	"github.com/leanovate/gopter"
 	"github.com/leanovate/gopter/gen"
 	"github.com/leanovate/gopter/prop"
+
+	"github.com/verbenatrail/verbenatrail/internal/locality"
 )
 
 var (
@@ -167,10 +169,12 @@
 		candidates []LoadCandidate
 		want       int
 	}{
-		{"least loaded", []LoadCandidate{{Name: "a", Load: 4, Near: true}, {Name: "b", Load: 1, Near: true}}, 1},
-		{"near before far", []LoadCandidate{{Name: "a"}, {Name: "b", Near: true}}, 1},
-		{"far when near is busy", []LoadCandidate{{Name: "a"}, {Name: "b", Near: true, Load: 3}}, 0},
-		{"cold later", []LoadCandidate{{Name: "a", Near: true, Cold: true}, {Name: "b", Near: true, Load: 1}}, 1},
+		{"least loaded", []LoadCandidate{{Name: "a", Load: 4}, {Name: "b", Load: 1}}, 1},
+		{"near before far", []LoadCandidate{{Name: "a", Distance: locality.SameRegion}, {Name: "b"}}, 1},
+		{"far when near is busy", []LoadCandidate{{Name: "a", Distance: locality.SameRegion}, {Name: "b", Load: 3}}, 0},
+		{"the region while it has room", []LoadCandidate{{Name: "a", Distance: locality.OtherRegion, Slots: 6}, {Name: "b", Load: 3, Slots: 6}}, 1},
+		{"another region when it has none", []LoadCandidate{{Name: "a", Distance: locality.OtherRegion, Slots: 6}, {Name: "b", Load: 6, Slots: 6}}, 0},
+		{"cold later", []LoadCandidate{{Name: "a", Cold: true}, {Name: "b", Load: 1}}, 1},
 		{"degraded last", []LoadCandidate{{Name: "a", Slots: 6, Degraded: true}, {Name: "b", Load: 5, Slots: 6}}, 1},
 		{"degraded alone", []LoadCandidate{{Name: "a", Slots: 6, Degraded: true}}, 0},
 	}
