Dispatch: a connection is awaited no longer than the call

Cause: a new connection was awaited for 350 ms whatever time the call had, so a call could be answered that much after its deadline or its route's timeout, and the instance was blamed for it. Change: the call's deadline bounds it; an attempt that the deadline ends says nothing about the instance, and is refused as not run.

--- a/internal/dispatch/send.go
+++ b/internal/dispatch/send.go
@@ -48,10 +48,16 @@
 	ctx, span := telemetry.StartSpan(r.ctx, "send")
 	defer telemetry.EndSpan(span, nil)
 	options := r.dispatcher.options
-	conn, err := options.Pool.Get(ctx, p.instance.Address)
+	conn, err := r.connect(ctx, p)
 	if err != nil {
-		options.Balancer.report(p, r.route, instances.Unreachable, 0)
-		return failed(attempt.Unsent, instances.Unreachable, err.Error())
+		result := instances.Unreachable
+		if !time.Now().Before(r.deadline) {
+			// The call ran out of time; that says nothing about the instance.
+			result = instances.Late
+		} else {
+			options.Balancer.report(p, r.route, result, 0)
+		}
+		return failed(attempt.Unsent, result, err.Error())
 	}
 	e := &exchange{run: r, pick: p, conn: conn, began: time.Now()}
 	s := e.exchange(ctx)
@@ -59,6 +65,14 @@
 	return s
 }
 
+// connect gets a connection within the call's time. Its error is
+// upstream.ErrUnreachable.
+func (r *run) connect(ctx context.Context, p *pick) (*upstream.Conn, error) {
+	ctx, cancel := context.WithDeadline(ctx, r.deadline)
+	defer cancel()
+	return r.dispatcher.options.Pool.Get(ctx, p.instance.Address)
+}
+
 // exchange is one send over one connection.
 type exchange struct {
 	run   *run
