Ingress: the configured header time-out holds

Cause: the time for a request's head was a constant of 10 s; the configuration's 3 s were not read, and a change needed a restart. New connections on which nothing came were not counted as idle either. Ruled out: http.Server's ReadHeaderTimeout, which can't change while it serves, and its connection states, which tell of a request after its head only. Test: TestConnectionsAreClosedAtTheConfiguredTimes.

--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -7,7 +7,6 @@
 	"io"
 	"net"
 	"net/http"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -36,15 +35,16 @@
 }
 
 const (
-	// headerTimeout bounds the time for a request's head.
+	// headerTimeout bounds the time for a request's head before a configuration
+	// is known, and where it names no limit.
 	headerTimeout = 10 * time.Second
 	// maxHeaderBytes bounds a request's head before the configuration in force
 	// is looked at.
 	maxHeaderBytes = 1 << 20
 	// defaultMaxBody bounds a body where the configuration names no limit.
 	defaultMaxBody = 8 << 20
-	// idleSweep is the time between two looks for idle connections.
-	idleSweep = time.Second
+	// sweepInterval is the time between two looks for overdue connections.
+	sweepInterval = time.Second
 	// leavingRetryAfter sends callers of a stopping router to another at once.
 	leavingRetryAfter = 10 * time.Millisecond
 )
@@ -68,15 +68,14 @@
 	leaving atomic.Bool
 	closed  atomic.Bool
 
-	mu   sync.Mutex
-	idle map[net.Conn]time.Time
+	waits *waits
 	// open is the number of connections.
 	open metrics.Counter
 }
 
 // New returns a Server.
 func New(o Options) *Server {
-	s := &Server{options: o, idle: make(map[net.Conn]time.Time),
+	s := &Server{options: o, waits: newWaits(),
 		open: metrics.GetOrRegisterCounter("callers.connections.open", o.Registry)}
 	s.http = &http.Server{
 		Handler: s, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes, ConnState: s.connState,
@@ -86,54 +85,45 @@
 
 // Serve accepts callers until Stop.
 func (s *Server) Serve(listener net.Listener) error {
+	listener = waitingListener{Listener: listener, waits: s.waits}
 	return errors.Wrap(serving.UntilClosed(s.http, listener), "callers can't be served")
 }
 
-// connState keeps the time since which a connection is idle.
+// connState keeps the time since which a connection waits for a request. The
+// server reports a connection as active once a request's head is complete.
 func (s *Server) connState(conn net.Conn, state http.ConnState) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
 	switch state {
 	case http.StateNew:
 		s.open.Inc(1)
+		s.waits.begin(conn)
 	case http.StateIdle:
-		s.idle[conn] = time.Now()
+		s.waits.begin(conn)
 	case http.StateClosed, http.StateHijacked:
 		s.open.Dec(1)
-		delete(s.idle, conn)
+		s.waits.end(conn)
 	default:
-		delete(s.idle, conn)
+		s.waits.end(conn)
 	}
 }
 
-// Run closes connections that are idle for longer than the configuration
-// allows, until the context ends.
+// Run closes connections on which a request is awaited for longer than the
+// configuration allows, until the context ends.
 func (s *Server) Run(ctx context.Context) error {
-	ticker := time.NewTicker(idleSweep)
+	ticker := time.NewTicker(sweepInterval)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case now := <-ticker.C:
-			s.closeIdle(now)
+			s.closeOverdue(now)
 		}
 	}
 }
 
-func (s *Server) closeIdle(now time.Time) {
-	table := s.options.Table()
-	if table == nil || table.Limits.IdleTimeout <= 0 {
-		return
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for conn, since := range s.idle {
-		if now.Sub(since) > table.Limits.IdleTimeout {
-			// The connection's own goroutine notices and reports any error.
-			_ = conn.Close()
-			delete(s.idle, conn)
-		}
+func (s *Server) closeOverdue(now time.Time) {
+	if table := s.options.Table(); table != nil {
+		s.waits.closeOverdue(now, table.Limits)
 	}
 }
 
--- /dev/null
+++ b/internal/ingress/timeouts_test.go
@@ -0,0 +1,104 @@
+package ingress
+
+import (
+	"context"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
+
+	"github.com/verbenatrail/verbenatrail/internal/decisionlog"
+	"github.com/verbenatrail/verbenatrail/internal/routing"
+)
+
+// newServer serves callers on loopback under limits, without a dispatcher.
+func newServer(t *testing.T, limits routing.Limits) (*Server, string) {
+	t.Helper()
+	registry := metrics.NewRegistry()
+	table := routing.NewTable(routing.Options{Revision: 1, Limits: limits})
+	s := New(Options{
+		Table: func() *routing.Table { return table },
+		Log:   decisionlog.New(io.Discard, logrus.ErrorLevel, registry), Registry: registry,
+	})
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	done := make(chan error, 1)
+	go func() { done <- s.Serve(listener) }()
+	t.Cleanup(func() {
+		if err := s.Stop(context.Background()); err != nil {
+			t.Error(err)
+		}
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+	})
+	return s, listener.Addr().String()
+}
+
+// closedAfterSweep reports whether a sweep at a moment closes a connection on
+// which some bytes were sent.
+func closedAfterSweep(t *testing.T, sent string, limits routing.Limits, passed time.Duration) bool {
+	t.Helper()
+	s, address := newServer(t, limits)
+	conn, err := net.Dial("tcp4", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	if _, err := io.WriteString(conn, sent); err != nil {
+		t.Fatal(err)
+	}
+	s.waits.waitFor(t, sent != "")
+	s.closeOverdue(time.Now().Add(passed))
+	if err := conn.SetReadDeadline(time.Now().Add(100 * time.Millisecond)); err != nil {
+		t.Fatal(err)
+	}
+	_, err = conn.Read(make([]byte, 1))
+	return err == io.EOF
+}
+
+// waitFor waits until the server knows one connection, in or before a head.
+func (w *waits) waitFor(t *testing.T, inHead bool) {
+	t.Helper()
+	const patience = 20 * time.Second
+	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		w.mu.Lock()
+		known := len(w.conns) == 1
+		for _, wait := range w.conns {
+			known = known && wait.inHead == inHead
+		}
+		w.mu.Unlock()
+		if known {
+			return
+		}
+	}
+	t.Fatal("the connection is not known")
+}
+
+func TestConnectionsAreClosedAtTheConfiguredTimes(t *testing.T) {
+	limits := routing.Limits{HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second}
+	const half = "GET / HTTP/1.1\r\nHost:"
+	cases := []struct {
+		name   string
+		sent   string
+		limits routing.Limits
+		passed time.Duration
+		closed bool
+	}{
+		{"half a head, in time", half, limits, 2 * time.Second, false},
+		{"half a head, late", half, limits, 4 * time.Second, true},
+		{"half a head, no limit", half, routing.Limits{}, time.Hour, false},
+		{"nothing sent, in time", "", limits, 14 * time.Second, false},
+		{"nothing sent, late", "", limits, 16 * time.Second, true},
+	}
+	for _, tc := range cases {
+		if closed := closedAfterSweep(t, tc.sent, tc.limits, tc.passed); closed != tc.closed {
+			t.Errorf("%s: closed %v, want %v", tc.name, closed, tc.closed)
+		}
+	}
+}
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -118,6 +118,7 @@
 type Limits struct {
 	MaxHeaderBytes int
 	MaxBodyBytes   int
+	HeaderTimeout  time.Duration
 	IdleTimeout    time.Duration
 }
 
