Service calls of the own interface go over the neutral exchange

Cause: two HTTP exchanges with instances stood beside each other (upstream for the platform's calls, net/http's transport in serviceclient for the own interface's), two lists of headers that concern one connection, two fingerprints and a decoder of Keep-Alive in the adapter. The own interface passed on headers that Connection names, and trusted a kept connection without a look at it.

Change: serviceclient sends over upstream.Pool; call.StripHop, call.Fingerprint and upstream.KeepAlive serve both interfaces. Errors are upstream's.

Ruled out: one dispatcher for both interfaces in one step. The own interface admits at the engine's owner and claims actions before they run; that stays.

--- a/internal/actions/holder.go
+++ b/internal/actions/holder.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 	"go.opentelemetry.io/otel/attribute"
 
+	"github.com/verbenatrail/verbenatrail/internal/call"
 	"github.com/verbenatrail/verbenatrail/internal/claims"
 	"github.com/verbenatrail/verbenatrail/internal/cluster"
 	"github.com/verbenatrail/verbenatrail/internal/fleet"
@@ -17,6 +18,7 @@
 	"github.com/verbenatrail/verbenatrail/internal/relay"
 	"github.com/verbenatrail/verbenatrail/internal/serviceclient"
 	"github.com/verbenatrail/verbenatrail/internal/telemetry"
+	"github.com/verbenatrail/verbenatrail/internal/upstream"
 )
 
 // Holder runs the actions of the claim slots that this router holds.
@@ -57,8 +59,8 @@
 // after the claim: a resend learns the outcome of its action also when the
 // configuration no longer admits it.
 func (h *Holder) dispatch(ctx context.Context, key uuid.UUID, request *peerpb.ActionRequest) (claims.Result, error) {
-	call := request.GetCall()
-	plan, refused := h.Planner.Plan(request.GetWorkspace(), call.GetService(), key.String(), fleet.KindService)
+	service := request.GetCall()
+	plan, refused := h.Planner.Plan(request.GetWorkspace(), service.GetService(), key.String(), fleet.KindService)
 	if refused != nil {
 		return claims.Result{}, refused
 	}
@@ -69,8 +71,8 @@
 		if !ok {
 			continue
 		}
-		response, err := h.Services.DoOnce(ctx, address, call)
-		if errors.Is(err, serviceclient.ErrNotSent) {
+		response, err := h.Services.DoOnce(ctx, address, service)
+		if errors.Is(err, upstream.ErrUnreachable) {
 			h.Report(name, membership.ConnRefused)
 			continue
 		}
@@ -90,6 +92,6 @@
 // callFingerprint identifies the content of an action, to tell a resend from
 // another action under the same key.
 func callFingerprint(request *peerpb.ActionRequest) uint64 {
-	call := request.GetCall()
-	return relay.Fingerprint(request.GetWorkspace(), call.GetService(), call.GetMethod(), call.GetPath(), string(call.GetBody()))
+	c := request.GetCall()
+	return call.Fingerprint(c.GetBody(), request.GetWorkspace(), c.GetService(), c.GetMethod(), c.GetPath())
 }
--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -7,8 +7,6 @@
 import (
 	"net/http"
 	"time"
-
-	"github.com/cespare/xxhash/v2"
 )
 
 // Part is one piece of a prompt. Prompts that begin with the same parts share
@@ -66,17 +64,6 @@
 	ResumeAfter string
 }
 
-// Fingerprint identifies the content of a call across resends under new IDs.
-func (c *Call) Fingerprint(workspace string) uint64 {
-	h := xxhash.New()
-	for _, field := range []string{workspace, c.Method, c.Target} {
-		_, _ = h.WriteString(field)
-		_, _ = h.Write([]byte{0})
-	}
-	_, _ = h.Write(c.Body)
-	return h.Sum64()
-}
-
 // Send is what one send to an instance adds to a call.
 type Send struct {
 	// Instance is the only one that may run the call.
@@ -119,7 +106,4 @@
 	EventStream bool
 	// Load is nil when the instance told none.
 	Load *Load
-	// KeepAlive is how long the instance keeps an idle connection, zero when it
-	// told none.
-	KeepAlive time.Duration
 }
--- a/internal/daemon/router.go
+++ b/internal/daemon/router.go
@@ -28,6 +28,7 @@
 	*node
 	settings RouterSettings
 	owner    *owner.Owner
+	services *serviceclient.Client
 	claims   *claims.Claims
 	callers  *router.Server
 	handler  *forward.Handler
@@ -41,28 +42,28 @@
 		return nil, err
 	}
 	r := &Router{node: n, settings: s}
-	services := serviceclient.New(s.Callers.MaxResponseBytes)
+	r.services = serviceclient.New(s.Callers.MaxResponseBytes, n.registry)
 	guard := newCrashGuard(s.Containment, n.cluster.PublishStrike)
 	r.owner = owner.New(owner.Options{
 		Self: s.Name, Settings: s.Owner, Config: n.config.Snapshot, View: n.cluster.View,
 		Report:   n.cluster.ReportUpstream,
 		Engines:  engineclient.New(s.Owner.FirstTokenTimeout.Std(), s.Owner.StallTimeout.Std()),
-		Services: services, Guard: guard, Metrics: owner.NewMetrics(n.registry), Logger: logger,
+		Services: r.services, Guard: guard, Metrics: owner.NewMetrics(n.registry), Logger: logger,
 	})
 	n.loads = r.owner.Load
 	n.strikes = guard.merge
 	r.claims = claims.New(claims.Options{
 		Store: n.store, Self: s.Name, Settings: s.Claims, Registry: n.registry, Logger: logger,
 	})
-	r.assembleCallers(services)
+	r.assembleCallers()
 	return r, nil
 }
 
-func (r *Router) assembleCallers(services *serviceclient.Client) {
+func (r *Router) assembleCallers() {
 	n := r.node
 	transport := forward.NewTransport(r.settings.Name, r.owner, n.pool, n.cluster)
 	holder := &actions.Holder{
-		Claims: r.claims, Planner: n.planner, View: n.cluster.View, Services: services,
+		Claims: r.claims, Planner: n.planner, View: n.cluster.View, Services: r.services,
 		Report: n.cluster.ReportUpstream, Timeout: r.settings.Owner.ServiceTimeout.Std(),
 	}
 	calls := relay.New(relay.Options{
@@ -93,6 +94,7 @@
 	group, running := errgroup.WithContext(running)
 	r.start(running, group)
 	group.Go(func() error { return r.owner.Run(running) })
+	group.Go(func() error { return r.services.Run(running) })
 	group.Go(func() error { return peer.NewServer(listeners.peers, r.handler).Run(running) })
 	group.Go(func() error { return serveHTTP(running, listeners.admin, r.adminHandler(r.status, r.ready)) })
 	callers := router.NewHTTPServer(r.callers)
--- a/internal/dispatch/send.go
+++ b/internal/dispatch/send.go
@@ -140,10 +140,7 @@
 
 // pass decides what the answer's head means and passes the answer on.
 func (e *exchange) pass(response *http.Response) sent {
-	e.keepAlive = e.reply.KeepAlive
-	if response.Close {
-		e.keepAlive = -1
-	}
+	e.keepAlive = upstream.KeepAlive(response)
 	e.run.dispatcher.options.Balancer.heardLoad(e.pick, e.reply.Load)
 	switch {
 	case e.reply.NotRun:
--- a/internal/ingress/responder.go
+++ b/internal/ingress/responder.go
@@ -3,7 +3,6 @@
 import (
 	"net/http"
 	"strconv"
-	"strings"
 	"sync/atomic"
 
 	"github.com/pkg/errors"
@@ -21,26 +20,8 @@
 	broken  bool
 }
 
-// hopHeaders concern one connection only.
-var hopHeaders = []string{
-	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer",
-	"Transfer-Encoding", "Upgrade", "Proxy-Connection",
-}
-
-// StripHop removes the headers that concern one connection only.
-func StripHop(header http.Header) {
-	for _, list := range header["Connection"] {
-		for _, name := range strings.Split(list, ",") {
-			header.Del(strings.TrimSpace(name))
-		}
-	}
-	for _, name := range hopHeaders {
-		header.Del(name)
-	}
-}
-
 func (o *responder) head(header http.Header) {
-	StripHop(header)
+	call.StripHop(header)
 	to := o.w.Header()
 	for name, values := range header {
 		to[name] = values
--- a/internal/owner/service.go
+++ b/internal/owner/service.go
@@ -9,6 +9,7 @@
 	"github.com/verbenatrail/verbenatrail/internal/peerpb"
 	"github.com/verbenatrail/verbenatrail/internal/refusal"
 	"github.com/verbenatrail/verbenatrail/internal/serviceclient"
+	"github.com/verbenatrail/verbenatrail/internal/upstream"
 )
 
 func (o *Owner) serveService(ctx context.Context, request *peerpb.ForwardRequest, t *target,
@@ -45,7 +46,7 @@
 func (o *Owner) serviceFailure(ctx context.Context, t *target, err error) error {
 	name := t.declared.Name
 	switch {
-	case errors.Is(err, serviceclient.ErrNotSent):
+	case errors.Is(err, upstream.ErrUnreachable):
 		o.Report(name, membership.ConnRefused)
 		return refusal.New(refusal.UpstreamFailed, "instance "+name+" can't be reached: try another").WithRetryAfter(retryAfterFailure)
 	case errors.Is(err, serviceclient.ErrTooLarge):
@@ -58,8 +59,8 @@
 	}
 }
 
-func sendResponse(sink Sink, upstream string, response *serviceclient.Response) error {
-	head := &peerpb.ResponseHead{Status: uint32(response.Status), Headers: response.Headers, Upstream: upstream}
+func sendResponse(sink Sink, instance string, response *serviceclient.Response) error {
+	head := &peerpb.ResponseHead{Status: uint32(response.Status), Headers: response.Headers, Upstream: instance}
 	events := []*peerpb.ForwardEvent{
 		{Event: &peerpb.ForwardEvent_Head{Head: head}},
 		{Event: &peerpb.ForwardEvent_Body{Body: &peerpb.BodyChunk{Data: response.Body}}},
--- a/internal/router/chat.go
+++ b/internal/router/chat.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"github.com/verbenatrail/verbenatrail/internal/call"
 	"github.com/verbenatrail/verbenatrail/internal/engineapi"
 	"github.com/verbenatrail/verbenatrail/internal/fleet"
 	"github.com/verbenatrail/verbenatrail/internal/peerpb"
@@ -62,7 +63,7 @@
 	return relay.Call{
 		RequestID: info.requestID, Workspace: info.workspace, Affinity: affinity,
 		Target: request.Model, Kind: fleet.KindEngine, Priority: info.priority,
-		Deadline: deadline, Fingerprint: relay.Fingerprint(info.workspace, string(body)),
+		Deadline: deadline, Fingerprint: call.Fingerprint(body, info.workspace),
 		Traceparent: telemetry.Traceparent(r.Context()), Chat: &peerpb.ChatCall{Body: body},
 	}
 }
--- a/internal/router/service.go
+++ b/internal/router/service.go
@@ -8,6 +8,7 @@
 
 	"github.com/google/uuid"
 
+	"github.com/verbenatrail/verbenatrail/internal/call"
 	"github.com/verbenatrail/verbenatrail/internal/fleet"
 	"github.com/verbenatrail/verbenatrail/internal/peerpb"
 	"github.com/verbenatrail/verbenatrail/internal/refusal"
@@ -36,12 +37,12 @@
 		return
 	}
 	defer release()
-	call := &peerpb.ServiceCall{Service: name, Method: r.Method, Path: target.escaped, Headers: callHeaders(r), Body: body}
+	request := &peerpb.ServiceCall{Service: name, Method: r.Method, Path: target.escaped, Headers: callHeaders(r), Body: body}
 	if service.Idempotent(r.Method, target.decoded) {
-		s.serveIdempotent(w, r, info, call)
+		s.serveIdempotent(w, r, info, request)
 		return
 	}
-	s.serveAction(w, r, info, call)
+	s.serveAction(w, r, info, request)
 }
 
 // beforeJournal returns what a request with an action key is told before the
@@ -100,14 +101,14 @@
 	return service, nil
 }
 
-func (s *Server) serveIdempotent(w http.ResponseWriter, r *http.Request, info callInfo, call *peerpb.ServiceCall) {
+func (s *Server) serveIdempotent(w http.ResponseWriter, r *http.Request, info callInfo, request *peerpb.ServiceCall) {
 	deadline, _ := r.Context().Deadline()
 	answer := &responseAnswer{w: w}
 	refused := s.relay.Serve(r.Context(), relay.Call{
 		RequestID: info.requestID, Workspace: info.workspace, Affinity: info.requestID,
-		Target: call.GetService(), Kind: fleet.KindService, Priority: info.priority, Deadline: deadline,
-		Fingerprint: relay.Fingerprint(info.workspace, call.GetMethod(), call.GetPath(), string(call.GetBody())),
-		Traceparent: telemetry.Traceparent(r.Context()), Service: call,
+		Target: request.GetService(), Kind: fleet.KindService, Priority: info.priority, Deadline: deadline,
+		Fingerprint: call.Fingerprint(request.GetBody(), info.workspace, request.GetMethod(), request.GetPath()),
+		Traceparent: telemetry.Traceparent(r.Context()), Service: request,
 	}, answer)
 	if refused == nil {
 		return
@@ -119,14 +120,14 @@
 	s.refuse(w, info, refused)
 }
 
-func (s *Server) serveAction(w http.ResponseWriter, r *http.Request, info callInfo, call *peerpb.ServiceCall) {
+func (s *Server) serveAction(w http.ResponseWriter, r *http.Request, info callInfo, request *peerpb.ServiceCall) {
 	key, refused := actionKey(r)
 	if refused != nil {
 		s.refuse(w, info, refused)
 		return
 	}
 	result, refused := s.actions.RunAction(r.Context(), &peerpb.ActionRequest{
-		RequestId: info.requestID, Workspace: info.workspace, ActionKey: key.String(), Call: call,
+		RequestId: info.requestID, Workspace: info.workspace, ActionKey: key.String(), Call: request,
 		ConfigRevision: s.config().Revision, TimeoutMs: uint32(info.timeout.Milliseconds()),
 		Traceparent: telemetry.Traceparent(r.Context()),
 	})
--- a/internal/serviceclient/client.go
+++ b/internal/serviceclient/client.go
@@ -3,43 +3,26 @@
 package serviceclient
 
 import (
-	"bytes"
 	"context"
-	"crypto/tls"
 	"io"
-	"net"
 	"net/http"
-	"net/http/httptrace"
-	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/rcrowley/go-metrics"
 	"go.opentelemetry.io/otel/attribute"
 
 	"github.com/verbenatrail/verbenatrail/internal/peerpb"
 	"github.com/verbenatrail/verbenatrail/internal/telemetry"
+	"github.com/verbenatrail/verbenatrail/internal/upstream"
 )
 
-// Errors of a call. Callers test for them with errors.Is.
-var (
-	// ErrNotSent means that no byte of the call left this router.
-	ErrNotSent = errors.New("service instance can't be reached: ask another instance")
-	// ErrNoAnswer means that the call was sent and its answer is missing.
-	ErrNoAnswer = errors.New("service instance sent no whole answer: the call may have run")
-	// ErrTooLarge means that the answer exceeds the bound.
-	ErrTooLarge = errors.New("service's answer is too large: raise max_response_bytes")
-)
-
-const (
-	dialTimeout    = 500 * time.Millisecond
-	maxIdlePerHost = 16
-	idleTimeout    = 30 * time.Second
-)
+// ErrTooLarge means that the answer exceeds the bound.
+var ErrTooLarge = errors.New("service's answer is too large: raise max_response_bytes")
 
 // Client sends calls. It is safe for concurrent use.
 type Client struct {
-	pooled   *http.Client
-	single   *http.Client
+	pool     *upstream.Pool
 	maxBytes int64
 }
 
@@ -51,94 +34,77 @@
 }
 
 // New returns a client that refuses answers above maxBytes.
-func New(maxBytes int64) *Client {
-	return &Client{
-		pooled:   &http.Client{Transport: transport(false), CheckRedirect: keepRedirect},
-		single:   &http.Client{Transport: transport(true), CheckRedirect: keepRedirect},
-		maxBytes: maxBytes,
-	}
+func New(maxBytes int64, registry metrics.Registry) *Client {
+	return &Client{pool: upstream.NewPool(registry), maxBytes: maxBytes}
 }
 
-func transport(single bool) *http.Transport {
-	dialer := &net.Dialer{Timeout: dialTimeout}
-	return &http.Transport{
-		DialContext:         dialer.DialContext,
-		DisableKeepAlives:   single,
-		MaxIdleConnsPerHost: maxIdlePerHost,
-		IdleConnTimeout:     idleTimeout,
-		DisableCompression:  true,
-		// An empty map turns HTTP/2 off, whose transport repeats requests.
-		TLSNextProto: map[string]func(string, *tls.Conn) http.RoundTripper{},
-	}
-}
-
-// keepRedirect passes redirects on to the caller: following one would send the
-// call again.
-func keepRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+// Run closes stale connections until the context ends, and then all.
+func (c *Client) Run(ctx context.Context) error { return c.pool.Run(ctx) }
 
-// Do sends a call that may be repeated.
+// Do sends a call that may be repeated. Its errors are upstream.ErrUnreachable,
+// upstream.ErrBroken and ErrTooLarge.
 func (c *Client) Do(ctx context.Context, address string, call *peerpb.ServiceCall) (*Response, error) {
-	return c.send(ctx, c.pooled, address, call)
+	return c.send(ctx, c.pool.Get, address, call)
 }
 
 // DoOnce sends a call that may not be repeated, over a new connection. It is
-// on the wire at most once: ErrNotSent guarantees that it never was.
+// on the wire at most once: upstream.ErrUnreachable guarantees that it never
+// was. Its other errors are those of Do.
 func (c *Client) DoOnce(ctx context.Context, address string, call *peerpb.ServiceCall) (*Response, error) {
-	return c.send(ctx, c.single, address, call)
+	return c.send(ctx, c.pool.Dial, address, call)
 }
 
-func (c *Client) send(ctx context.Context, client *http.Client, address string, call *peerpb.ServiceCall) (*Response, error) {
+type connect func(ctx context.Context, address string) (*upstream.Conn, error)
+
+func (c *Client) send(ctx context.Context, connect connect, address string, call *peerpb.ServiceCall) (*Response, error) {
 	ctx, span := telemetry.StartSpan(ctx, "service.call", attribute.String("service", call.GetService()))
-	response, err := c.exchange(ctx, client, address, call)
+	response, err := c.exchange(ctx, connect, address, call)
 	telemetry.EndSpan(span, err)
 	return response, err
 }
 
-func (c *Client) exchange(ctx context.Context, client *http.Client, address string, call *peerpb.ServiceCall) (*Response, error) {
-	var connected atomic.Bool
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
-	request, err := newRequest(httptrace.WithClientTrace(ctx, trace), address, call)
+func (c *Client) exchange(ctx context.Context, connect connect, address string, call *peerpb.ServiceCall) (*Response, error) {
+	conn, err := connect(ctx, address)
 	if err != nil {
-		return nil, errors.Wrap(ErrNotSent, err.Error())
+		return nil, err
 	}
-	response, err := client.Do(request)
-	if err != nil {
-		return nil, classify(&connected, err)
+	unwatch := conn.CloseOn(ctx)
+	response, keepAlive, err := c.answer(ctx, conn, address, call)
+	if !unwatch() || err != nil {
+		conn.Close()
+		return response, err
 	}
-	defer func() { _ = response.Body.Close() }()
-	return c.read(response)
+	c.pool.Release(conn, keepAlive)
+	return response, nil
 }
 
-func newRequest(ctx context.Context, address string, call *peerpb.ServiceCall) (*http.Request, error) {
-	url := "http://" + address + call.GetPath()
-	request, err := http.NewRequestWithContext(ctx, call.GetMethod(), url, bytes.NewReader(call.GetBody()))
+// answer sends the call and reads the whole answer. A negative time says that
+// the instance closes the connection.
+func (c *Client) answer(ctx context.Context, conn *upstream.Conn, address string, call *peerpb.ServiceCall) (*Response, time.Duration, error) {
+	if err := conn.Send(newRequest(ctx, address, call)); err != nil {
+		return nil, 0, err
+	}
+	head, err := conn.ReadHead(call.GetMethod())
 	if err != nil {
-		return nil, err
+		return nil, 0, err
 	}
-	// Without GetBody the transport can't send the body a second time.
-	request.GetBody = nil
-	for _, header := range call.GetHeaders() {
-		request.Header.Add(header.GetName(), header.GetValue())
+	body, err := io.ReadAll(io.LimitReader(head.Body, c.maxBytes+1))
+	if err != nil {
+		return nil, 0, errors.Wrap(upstream.ErrBroken, err.Error())
 	}
-	telemetry.InjectHTTP(ctx, request.Header)
-	return request, nil
-}
-
-// classify reports ErrNotSent only when no connection was ever obtained.
-func classify(connected *atomic.Bool, err error) error {
-	if connected.Load() {
-		return errors.Wrap(ErrNoAnswer, err.Error())
+	if int64(len(body)) > c.maxBytes {
+		return nil, 0, ErrTooLarge
 	}
-	return errors.Wrap(ErrNotSent, err.Error())
+	return &Response{Status: head.StatusCode, Headers: PassedHeaders(head.Header), Body: body}, upstream.KeepAlive(head), nil
 }
 
-func (c *Client) read(response *http.Response) (*Response, error) {
-	body, err := io.ReadAll(io.LimitReader(response.Body, c.maxBytes+1))
-	if err != nil {
-		return nil, errors.Wrap(ErrNoAnswer, err.Error())
+func newRequest(ctx context.Context, address string, call *peerpb.ServiceCall) *upstream.Request {
+	header := make(http.Header)
+	for _, h := range call.GetHeaders() {
+		header.Add(h.GetName(), h.GetValue())
 	}
-	if int64(len(body)) > c.maxBytes {
-		return nil, ErrTooLarge
+	telemetry.InjectHTTP(ctx, header)
+	return &upstream.Request{
+		Method: call.GetMethod(), Host: address, Target: call.GetPath(), Header: header, Body: call.GetBody(),
 	}
-	return &Response{Status: response.StatusCode, Headers: PassedHeaders(response.Header), Body: body}, nil
 }
--- a/internal/serviceclient/headers.go
+++ b/internal/serviceclient/headers.go
@@ -2,34 +2,26 @@
 
 import (
 	"net/http"
-	"sort"
+	"slices"
 
+	"github.com/verbenatrail/verbenatrail/internal/call"
 	"github.com/verbenatrail/verbenatrail/internal/peerpb"
 )
 
-// hopHeaders concern one connection only and are not passed on.
-var hopHeaders = map[string]bool{
-	"Connection":          true,
-	"Keep-Alive":          true,
-	"Proxy-Authenticate":  true,
-	"Proxy-Authorization": true,
-	"Te":                  true,
-	"Trailer":             true,
-	"Transfer-Encoding":   true,
-	"Upgrade":             true,
-	"Content-Length":      true,
-	"Host":                true,
-}
+// framingHeaders are set anew by each hop.
+var framingHeaders = []string{"Content-Length", "Host"}
 
 // PassedHeaders returns the end-to-end headers, in name order.
 func PassedHeaders(header http.Header) []*peerpb.Header {
+	header = header.Clone()
+	call.StripHop(header)
 	names := make([]string, 0, len(header))
 	for name := range header {
-		if !hopHeaders[name] {
+		if !slices.Contains(framingHeaders, name) {
 			names = append(names, name)
 		}
 	}
-	sort.Strings(names)
+	slices.Sort(names)
 	var passed []*peerpb.Header
 	for _, name := range names {
 		for _, value := range header[name] {
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -303,3 +303,29 @@
 	r.data = r.data[n:]
 	return n, nil
 }
+
+func TestKeepAlive(t *testing.T) {
+	cases := []struct {
+		field string
+		close bool
+		want  time.Duration
+	}{
+		{"", false, 0}, {"max=5, timeout=7", false, 7 * time.Second}, {"Timeout = 3", false, 0}, {"timeout=x", false, 0},
+		{"timeout=-1", false, 0}, {"timeout=7", true, closes},
+	}
+	for _, tc := range cases {
+		r := &http.Response{Header: http.Header{"Keep-Alive": {tc.field}}, Close: tc.close}
+		if got := KeepAlive(r); got != tc.want {
+			t.Errorf("%q, close %v: %v, want %v", tc.field, tc.close, got, tc.want)
+		}
+	}
+}
+
+func FuzzKeepAlive(f *testing.F) {
+	f.Add("max=5, timeout=7")
+	f.Fuzz(func(t *testing.T, field string) {
+		if got := KeepAlive(&http.Response{Header: http.Header{"Keep-Alive": {field}}}); got < 0 {
+			t.Errorf("%q closes an open connection", field)
+		}
+	})
+}
