--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN = bin
 GENERATED = internal/peerpb/peer.pb.go internal/journalpb/journal.pb.go
 
-.PHONY: build test check generate generated-current fmt demo traces capacity prove
+.PHONY: build test check generate generated-current fmt demo traces capacity prove bench-report
 
 build:
 	$(GO) build -o $(BIN)/ ./cmd/...
@@ -45,3 +45,7 @@
 # Runs every proof of docs/PROOFS.md; about two minutes.
 prove:
 	@GO=$(GO) scripts/prove.sh
+
+# Writes a page of figures and plots from the journal of the users' bench.
+bench-report: build
+	$(BIN)/vt-replay bench-report
--- a/cmd/vt-replay/main.go
+++ b/cmd/vt-replay/main.go
@@ -34,6 +34,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(newGenerateCommand(), newLayoutCommand(), newProcessesCommand(), newReadyCommand(), newRunCommand())
+	root.AddCommand(newGenerateCommand(), newLayoutCommand(), newProcessesCommand(), newReadyCommand(), newRunCommand(),
+		newBenchReportCommand())
 	return root
 }
