Records: what instances write to show that they live is no change

The two routers that follow the store passed 2,500 changes a second on to all others; what did not fit in a datagram was fetched by all, from the first router in name order. The busiest router sent 9.8 MB/s and exceeded its memory; configurations were in force after up to 19 s.

Ruled out: more followers of the store (each call is paid for); longer rounds (changes have to be in force in two seconds).

Change: the adapter says which values of a record mean the same. The mirror keeps two revisions, the one that it is complete up to and the one at which it changed last; digests carry both, so a copy advances without any data. Deltas start at the last change, and suit all copies that had it. The store's answer about its revision confirms a copy as soon as the copy has come to it.

The property test found that a copy took an older write of a record for a newer one, since deltas carried the revision of the last change; they carry that of the last write now.

--- a/internal/edge/config_test.go
+++ b/internal/edge/config_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"slices"
 	"testing"
 	"time"
 
@@ -33,6 +34,8 @@
 	return Snapshot{}
 }
 
+func (revisionProvider) Same(a, b kv.Entry) bool { return slices.Equal(a.Value, b.Value) }
+
 func (revisionProvider) Registration(string) (string, []byte) { return "self", nil }
 
 func newTestControl(t *testing.T) *control {
@@ -62,7 +65,7 @@
 	properties := gopter.NewProperties(parameters)
 	c := newTestControl(t)
 	properties.Property("in force", prop.ForAll(func(codes []uint8) bool {
-		c.mirror, c.records = mirror.New(), recordsState{}
+		c.mirror, c.records = mirror.New(revisionProvider{}.Same), recordsState{}
 		c.edge.table.Store(nil)
 		return configStaysNew(c, codes)
 	}, gen.SliceOfN(60, gen.UInt8())))
--- a/internal/edge/confirm.go
+++ b/internal/edge/confirm.go
@@ -23,7 +23,7 @@
 // confirm asks the store whether the copy of its records is complete, when
 // neither this router nor another has done so lately.
 func (c *control) confirm(now time.Time) {
-	if c.mirror.Revision() == 0 || !c.records.freshness.Due(now, c.follow.healthy(), rand.N(mirror.JitterBound)) {
+	if c.mirror.Revision() == 0 || !c.records.freshness.Due(now, c.follow.healthy(), c.roster.SpreadTime(), rand.N(mirror.JitterBound)) {
 		return
 	}
 	go c.edge.askRevision(now)
@@ -46,19 +46,21 @@
 		return
 	}
 	c.storeBack()
-	c.records.confirmedRevision = max(c.records.confirmedRevision, s.revision)
-	if s.revision <= c.mirror.Revision() {
-		c.confirmed(now, s.asked)
-		return
-	}
-	if c.follow.stop == nil {
-		// Others say that they follow, and have not passed on what the store holds.
-		others, _ := c.roster.Followers()
-		c.startFollowing(others)
+	if s.revision >= c.records.store.revision {
+		c.records.store = storeRevision{revision: s.revision, asked: s.asked}
 	}
+	c.advanced(now)
 	c.catchUp(now)
 }
 
+// advanced takes that the copy has come to a later revision: once it has come to
+// that of the store, it was complete when the store was asked.
+func (c *control) advanced(now time.Time) {
+	if store := c.records.store; store.revision > 0 && store.revision <= c.mirror.Revision() {
+		c.confirmed(now, store.asked)
+	}
+}
+
 // confirmedWithin is the age from which on records count as unconfirmed: two
 // questions to the store in a row had no answer.
 const confirmedWithin = 2 * time.Second
@@ -91,11 +93,15 @@
 	})
 }
 
-// hearConfirmation takes another router's word that a copy was complete.
+// hearConfirmation takes another router's word that a copy was complete, if this
+// copy lacks no change that the other has.
 func (c *control) hearConfirmation(now time.Time, r peering.Received) {
-	if r.Router.StateRevision > c.mirror.Revision() {
+	if r.Router.ChangedRevision > c.mirror.Revision() {
 		return
 	}
+	if c.mirror.Advance(r.Router.ChangedRevision, r.Router.StateRevision) {
+		c.advanced(now)
+	}
 	c.confirmed(now, now.Add(-time.Duration(r.Digest.GetConfirmedAgeMs())*time.Millisecond))
 }
 
--- a/internal/edge/control.go
+++ b/internal/edge/control.go
@@ -50,7 +50,7 @@
 
 func newControl(ctx context.Context, e *Edge) *control {
 	c := &control{
-		edge: e, ctx: ctx, mirror: mirror.New(), seeds: e.options.Settings.Seeds, strikes: containment.NewQueue(),
+		edge: e, ctx: ctx, mirror: mirror.New(e.options.Provider.Same), seeds: e.options.Settings.Seeds, strikes: containment.NewQueue(),
 		roster: peering.NewRoster(e.options.Settings.Name, rand.Uint64()),
 	}
 	c.listRouters()
@@ -87,6 +87,7 @@
 	c.catchUp(now)
 	c.confirm(now)
 	c.warmUp(now)
+	c.edge.link.CloseIdle(now)
 }
 
 // send sends a digest, with the strikes that are still to be told.
@@ -102,8 +103,9 @@
 	d := &peerpb.Digest{
 		CallerAddress: s.CallerAddress, PeerAddress: s.PeerAddress, Region: s.Place.Region,
 		Accepting: c.edge.Ready(), Leaving: c.edge.leaving.Load(), StateRevision: c.mirror.Revision(),
-		ConfirmedAgeMs: uint32(min(c.records.freshness.Age(now).Milliseconds(), math.MaxUint32)),
-		FollowsStore:   c.follow.healthy(),
+		ChangedRevision: c.mirror.Changed(),
+		ConfirmedAgeMs:  uint32(min(c.records.freshness.Age(now).Milliseconds(), math.MaxUint32)),
+		FollowsStore:    c.follow.healthy(),
 	}
 	d.Loads, d.Held = c.edge.balancer.Digest()
 	return d
@@ -133,7 +135,7 @@
 	for _, change := range changes {
 		c.edge.options.Log.Decision("router changed", decisionlog.Fields{
 			"router": change.Router.Name, "what": change.What, "incarnation": change.Router.Incarnation,
-			"silence_ms": change.Silence.Milliseconds(), "state_revision": change.Router.StateRevision,
+			"silence_ms": change.Silence.Milliseconds(), "state_revision": change.Router.StateRevision, "changed_revision": change.Router.ChangedRevision,
 		})
 		if change.What == peering.WentSilent {
 			c.edge.balancer.ForgetPeer(change.Router.Name)
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -26,6 +26,10 @@
 		c.send(now, []string{d.received.Router.PeerAddress})
 	}
 	c.askHeld(d.received.Router)
+	if d.received.Router.FetchNow && d.received.Router.ChangedRevision > c.mirror.Revision() && !c.follow.healthy() {
+		c.fetchLacking(now)
+		return
+	}
 	c.catchUp(now)
 }
 
@@ -47,8 +51,9 @@
 	if len(r.State.GetHeld()) > 0 {
 		c.edge.balancer.HearHeld(r.State.GetHeld())
 	}
-	c.roster.Advance(r.Router.Name, r.State.GetRevision())
+	c.roster.Advance(r.Router.Name, r.State.GetChangedRevision(), r.State.GetRevision())
 	if c.mirror.Merge(deltaFromProto(r.State)) {
+		c.advanced(now)
 		c.noteConfirmed(now)
 		c.publish(now)
 	}
@@ -58,7 +63,7 @@
 func deltaFromProto(s *peerpb.StateResponse) mirror.Delta {
 	d := mirror.Delta{
 		Full: s.GetFromRevision() == 0, From: s.GetFromRevision(), Revision: s.GetRevision(), Removed: s.GetRemoved(),
-		Complete: s.GetComplete(),
+		Changed: s.GetChangedRevision(), Complete: s.GetComplete(),
 	}
 	for _, e := range s.GetEntries() {
 		d.Entries = append(d.Entries, kv.Entry{Key: e.GetKey(), Value: e.GetValue(), ModRevision: e.GetRevision()})
@@ -67,7 +72,9 @@
 }
 
 func deltaToProto(d mirror.Delta) *peerpb.StateResponse {
-	s := &peerpb.StateResponse{Revision: d.Revision, FromRevision: d.From, Removed: d.Removed, Complete: d.Complete}
+	s := &peerpb.StateResponse{
+		Revision: d.Revision, FromRevision: d.From, Removed: d.Removed, ChangedRevision: d.Changed, Complete: d.Complete,
+	}
 	for _, e := range d.Entries {
 		s.Entries = append(s.Entries, &peerpb.StateEntry{Key: e.Key, Value: e.Value, Revision: e.ModRevision})
 	}
--- a/internal/edge/provider.go
+++ b/internal/edge/provider.go
@@ -31,6 +31,9 @@
 type Provider interface {
 	// Translate returns what the records say. It is called by one goroutine.
 	Translate(entries []kv.Entry, now time.Time) Snapshot
+	// Same reports whether two values of a record mean the same to a router. It
+	// is called by the goroutine that calls Translate.
+	Same(a, b kv.Entry) bool
 	// Registration returns the record by which this router is found.
 	Registration(peerAddress string) (key string, value []byte)
 }
--- a/internal/edge/records.go
+++ b/internal/edge/records.go
@@ -16,8 +16,14 @@
 	// behindPatience is how long the store's own watch may take to bring what
 	// another router has already: a few answers of the store.
 	behindPatience = 150 * time.Millisecond
+	// strangerPatience is the same for a router that doesn't follow the store:
+	// those that do push changes, and a round of digests tells that a copy lacks
+	// nothing.
+	strangerPatience = 300 * time.Millisecond
 	// fetchPause is the least time between two fetches of a copy.
 	fetchPause = 300 * time.Millisecond
+	// elsewherePause is the same after a router that was busy or failed.
+	elsewherePause = 50 * time.Millisecond
 	// fetchTimeout bounds one fetch.
 	fetchTimeout = 2 * time.Second
 )
@@ -25,13 +31,25 @@
 // recordsState is what is known of how current the copy of the records is.
 type recordsState struct {
 	freshness mirror.Freshness
-	// confirmedRevision is the store's revision at the last confirmation.
-	confirmedRevision int64
-	fetching          bool
-	fetched           time.Time
-	// behindSince is when the copy was first seen to be behind.
+	// store is what the store said last of its revision.
+	store storeRevision
+	// fetching is set while another router is asked, nextFetch is the earliest
+	// time for the next one.
+	fetching  bool
+	nextFetch time.Time
+	// behindSince is when the copy was first seen to be behind at behindAt, its
+	// present revision.
 	behindSince time.Time
-	problems    []string
+	behindAt    int64
+	// passedOver are routers that were busy or failed since a fetch succeeded.
+	passedOver []string
+	problems   []string
+}
+
+// storeRevision is a revision of the store and when the store was asked for it.
+type storeRevision struct {
+	revision int64
+	asked    time.Time
 }
 
 type storeUpdate struct{ update mirror.Update }
@@ -43,7 +61,7 @@
 		return
 	}
 	c.storeBack()
-	before := c.mirror.Revision()
+	before := c.mirror.Changed()
 	changed := false
 	if u.Full {
 		c.confirmed(now, now)
@@ -51,6 +69,7 @@
 	} else {
 		changed = c.mirror.Apply(u.Events, u.Revision)
 	}
+	c.advanced(now)
 	if changed {
 		c.noteConfirmed(now)
 		c.publish(now)
@@ -58,18 +77,26 @@
 	}
 }
 
-// passOn tells the other routers what has changed after a revision.
+// passOn tells the other routers what has changed since an earlier change. A
+// copy that had that one lacks nothing else, whatever its revision.
 func (c *control) passOn(now time.Time, before int64) {
 	delta, ok := c.mirror.Since(before)
 	if !ok {
 		return
 	}
-	everyone := c.roster.Everyone()
-	if delta.Full || !c.edge.link.SendState(everyone, deltaToProto(delta)) {
-		c.send(now, everyone)
+	if delta.Full || !c.edge.link.SendState(c.roster.Everyone(), deltaToProto(delta)) {
+		c.announce(now)
 	}
 }
 
+// announce has other routers fetch what has changed: some of them, which
+// announce it in turn.
+func (c *control) announce(now time.Time) {
+	d := c.digest(now)
+	d.FetchNow = true
+	c.edge.link.SendDigest(c.roster.Targets(), d, nil)
+}
+
 type stateFetched struct {
 	from     string
 	response *peerpb.StateResponse
@@ -79,29 +106,57 @@
 // catchUp fetches what the copy lacks from another router, when the store does
 // not bring it.
 func (c *control) catchUp(now time.Time) {
-	newest, ok := c.roster.Newest()
-	known := c.records.confirmedRevision
-	if ok {
-		known = max(known, newest.StateRevision)
-	}
 	r := &c.records
-	if known <= c.mirror.Revision() {
+	if c.known() <= c.mirror.Revision() {
 		r.behindSince = time.Time{}
 		return
 	}
-	if r.behindSince.IsZero() {
-		r.behindSince = now
+	if r.behindSince.IsZero() || r.behindAt != c.mirror.Revision() {
+		r.behindSince, r.behindAt = now, c.mirror.Revision()
 	}
-	waited := c.mirror.Revision() == 0 || !c.follow.healthy() || now.Sub(r.behindSince) >= behindPatience
-	if !waited || r.fetching || now.Sub(r.fetched) < fetchPause {
+	if now.Sub(r.behindSince) >= c.catchUpPatience() {
+		c.fetchLacking(now)
+	}
+}
+
+// known is the latest revision that the copy has to be complete up to.
+func (c *control) known() int64 { return max(c.records.store.revision, c.roster.NewestChange()) }
+
+// catchUpPatience is how long the copy may be behind without any progress.
+func (c *control) catchUpPatience() time.Duration {
+	switch {
+	case c.mirror.Revision() == 0:
+		return 0
+	case c.follow.healthy():
+		return behindPatience
+	default:
+		return strangerPatience
+	}
+}
+
+// fetchLacking asks another router for what the copy lacks, and the store if it
+// is ahead of all.
+func (c *control) fetchLacking(now time.Time) {
+	r := &c.records
+	if r.fetching || now.Before(r.nextFetch) {
 		return
 	}
-	r.fetched = now
-	c.keptBack(now, known)
-	if ok && newest.StateRevision > c.mirror.Revision() {
-		r.fetching = true
-		go c.edge.fetch(newest, &peerpb.StateRequest{HaveRevision: c.mirror.Revision()})
+	r.nextFetch = now.Add(fetchPause)
+	switch {
+	case c.follow.stop != nil:
+		c.keptBack(now, c.known())
+	case r.store.revision > c.mirror.Revision():
+		// Others say that they follow, and have not passed on what the store holds.
+		others, _ := c.roster.Followers()
+		c.startFollowing(others)
 	}
+	source, ok := c.roster.Source(c.mirror.Revision(), r.passedOver)
+	if !ok {
+		r.passedOver = nil
+		return
+	}
+	r.fetching = true
+	go c.edge.fetch(source, &peerpb.StateRequest{HaveRevision: c.mirror.Revision()})
 }
 
 // fetch asks another router for what the copy lacks.
@@ -113,26 +168,31 @@
 }
 
 func (s stateFetched) apply(c *control, now time.Time) {
-	c.records.fetching = false
+	r := &c.records
+	r.fetching = false
+	c.warm.asking = false
 	log := c.edge.options.Log
 	if s.err != nil {
-		c.warm.asking = false
+		r.passedOver = append(r.passedOver, s.from)
+		r.nextFetch = now.Add(elsewherePause)
 		log.Failure("records not fetched", s.err, decisionlog.Fields{"router": s.from})
 		return
 	}
+	r.passedOver = nil
 	c.hearHeldAll(s.from, s.response)
 	delta := deltaFromProto(s.response)
 	had := c.mirror.Revision()
 	if !c.mirror.Merge(delta) {
 		return
 	}
-	c.records.behindSince = time.Time{}
+	c.advanced(now)
 	c.noteConfirmed(now)
 	log.Decision("records fetched", decisionlog.Fields{
 		"router": s.from, "revision": delta.Revision, "had": had, "full": delta.Full,
 		"entries": len(delta.Entries), "removed": len(delta.Removed),
 	})
 	c.publish(now)
+	c.announce(now)
 }
 
 // publish puts the records in force.
--- a/internal/mirror/freshness.go
+++ b/internal/mirror/freshness.go
@@ -45,12 +45,12 @@
 func (f *Freshness) Age(now time.Time) time.Duration { return now.Sub(f.confirmed) }
 
 // Due reports whether to ask the store now, and notes that it is asked. Follows
-// tells whether the router follows the store. Jitter is a random time below
-// JitterBound.
-func (f *Freshness) Due(now time.Time, follows bool, jitter time.Duration) bool {
-	patience := strangerAfter
+// tells whether the router follows the store, spread is how long what it hears
+// needs to come to all routers. Jitter is a random time below JitterBound.
+func (f *Freshness) Due(now time.Time, follows bool, spread, jitter time.Duration) bool {
+	patience := strangerAfter + spread
 	if follows {
-		patience = confirmAfter
+		patience = max(confirmAfter-spread, distrustedAfter)
 	}
 	if follows && now.Before(f.distrustUntil) {
 		patience = distrustedAfter
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -2,10 +2,14 @@
 // comes from the platform's store, or from another router that has a newer
 // one; it never goes back to an older revision. A Mirror is pure; Follower
 // feeds it from a store.
+//
+// Instances write their records again and again to show that they live. A
+// record that means the same as before is no change: it advances the revision
+// of the copy, and is neither kept nor passed on. So what routers tell each
+// other doesn't grow with the number of instances.
 package mirror
 
 import (
-	"maps"
 	"slices"
 	"strings"
 
@@ -15,8 +19,11 @@
 // Mirror is a copy of the records at one revision. It isn't safe for
 // concurrent use.
 type Mirror struct {
-	entries  map[string]kv.Entry
+	same     func(a, b kv.Entry) bool
+	records  map[string]record
 	revision int64
+	// changed is the latest revision at which a record may have changed.
+	changed int64
 	// changes are the latest ones in order; they are complete after floor.
 	changes []change
 	floor   int64
@@ -25,6 +32,22 @@
 	gaps []gap
 }
 
+// record is one record: its last value, with the revision at which it last
+// changed.
+type record struct {
+	entry kv.Entry
+	// latest is the revision of its last write.
+	latest int64
+}
+
+// written is the record as other routers are told of it: a copy must not take an
+// earlier write for a later one.
+func (r record) written() kv.Entry {
+	e := r.entry
+	e.ModRevision = r.latest
+	return e
+}
+
 // gap excludes both revisions.
 type gap struct{ from, to int64 }
 
@@ -45,55 +68,96 @@
 	Removed  []string
 	From     int64
 	Revision int64
+	// Changed is the latest revision at which a record may have changed.
+	Changed int64
 	// Complete is set when the delta also suits copies between From and Revision.
 	Complete bool
 }
 
-// New returns an empty Mirror.
-func New() *Mirror { return &Mirror{entries: make(map[string]kv.Entry)} }
+// New returns an empty Mirror. Same reports whether two values of a record mean
+// the same; the later one is no change then.
+func New(same func(a, b kv.Entry) bool) *Mirror {
+	return &Mirror{same: same, records: make(map[string]record)}
+}
 
 // Revision returns the revision that the copy is known to be complete up to;
 // zero before there is any.
 func (m *Mirror) Revision() int64 { return m.revision }
 
-// Entries returns all records in key order.
+// Changed returns the latest revision at which a record may have changed. A copy
+// that is complete up to it lacks nothing that this one has.
+func (m *Mirror) Changed() int64 { return m.changed }
+
+// Entries returns all records in key order, with the revisions at which they last
+// changed.
 func (m *Mirror) Entries() []kv.Entry {
-	return slices.SortedFunc(maps.Values(m.entries), func(a, b kv.Entry) int { return strings.Compare(a.Key, b.Key) })
+	entries := make([]kv.Entry, 0, len(m.records))
+	for _, r := range m.records {
+		entries = append(entries, r.entry)
+	}
+	slices.SortFunc(entries, func(a, b kv.Entry) int { return strings.Compare(a.Key, b.Key) })
+	return entries
+}
+
+// Advance takes another router's word that its copy is complete up to a revision
+// and has not changed since an earlier one. It reports whether that is news: it
+// says nothing when this copy lacks the change.
+func (m *Mirror) Advance(changed, revision int64) bool {
+	if m.revision == 0 || changed > m.revision || revision <= m.revision {
+		return false
+	}
+	m.revision = revision
+	return true
 }
 
 // Replace takes a whole copy of at least the mirror's revision, and reports
-// whether it did.
+// whether it did. When its records changed last is not known.
 func (m *Mirror) Replace(entries []kv.Entry, revision int64) bool {
+	return m.replace(entries, revision, revision)
+}
+
+func (m *Mirror) replace(entries []kv.Entry, changed, revision int64) bool {
 	if revision < m.revision || revision == 0 {
 		return false
 	}
-	next := make(map[string]kv.Entry, len(entries))
+	next := make(map[string]record, len(entries))
 	for _, e := range entries {
-		// A list is no snapshot: what a later event told stays.
-		if known, ok := m.entries[e.Key]; ok && known.ModRevision > e.ModRevision {
-			e = known
-		}
-		next[e.Key] = e
+		next[e.Key] = m.merged(e)
 	}
-	m.noteReplaced(next, revision)
-	m.entries, m.revision = next, revision
+	m.noteReplaced(next, changed, revision)
+	m.records, m.revision = next, revision
 	return true
 }
 
+// merged returns what a write makes of a record.
+func (m *Mirror) merged(e kv.Entry) record {
+	known, ok := m.records[e.Key]
+	switch {
+	case ok && known.latest >= e.ModRevision:
+		// A list is no snapshot: what a later event told stays.
+		return known
+	case ok && m.same(known.entry, e):
+		known.entry.Value, known.latest = e.Value, e.ModRevision
+		return known
+	default:
+		return record{entry: e, latest: e.ModRevision}
+	}
+}
+
 // noteReplaced notes what a whole copy changes. When a removed record went is
 // not known; the new revision is the latest that it can be.
-func (m *Mirror) noteReplaced(next map[string]kv.Entry, revision int64) {
+func (m *Mirror) noteReplaced(next map[string]record, changed, revision int64) {
 	if m.revision == 0 {
-		m.floor = revision
+		m.floor, m.changed = changed, changed
 		return
 	}
 	m.jump(revision)
-	for key, e := range next {
-		if known, ok := m.entries[key]; !ok || known.ModRevision < e.ModRevision {
+	for key, r := range next {
+		if known, ok := m.records[key]; !ok || known.entry.ModRevision < r.entry.ModRevision {
 			m.note(key, revision)
 		}
 	}
-	for key := range m.entries {
+	for key := range m.records {
 		if _, ok := next[key]; !ok {
 			m.note(key, revision)
 		}
@@ -102,19 +166,29 @@
 
 // jump notes that not all changes up to a revision are known.
 func (m *Mirror) jump(revision int64) {
-	if revision > m.revision+1 {
-		m.gaps = append(m.gaps, gap{from: m.revision, to: revision})
+	if revision <= m.revision+1 {
+		return
+	}
+	m.changed = max(m.changed, revision)
+	m.gaps = append(m.gaps, gap{from: m.revision, to: revision})
+	if len(m.gaps) > maxChanges {
+		m.forget(m.gaps[0].to)
 	}
 }
 
 // note keeps a change; the oldest are dropped beyond the bound.
 func (m *Mirror) note(key string, revision int64) {
+	m.changed = max(m.changed, revision)
 	m.changes = append(m.changes, change{key: key, revision: revision})
-	if len(m.changes) <= maxChanges {
-		return
+	if len(m.changes) > maxChanges {
+		m.forget(m.changes[0].revision)
 	}
-	m.floor = max(m.floor, m.changes[0].revision)
-	m.changes = slices.Delete(m.changes, 0, 1)
+}
+
+// forget drops what is known of changes up to a revision.
+func (m *Mirror) forget(floor int64) {
+	m.floor = max(m.floor, floor)
+	m.changes = slices.DeleteFunc(m.changes, func(c change) bool { return c.revision <= m.floor })
 	m.gaps = slices.DeleteFunc(m.gaps, func(g gap) bool { return g.to <= m.floor })
 }
 
@@ -129,39 +203,43 @@
 }
 
 func (m *Mirror) applyOne(event kv.Event, revision int64) bool {
-	known, ok := m.entries[event.Entry.Key]
-	if ok && known.ModRevision >= event.Entry.ModRevision {
+	known, ok := m.records[event.Entry.Key]
+	if ok && known.latest >= event.Entry.ModRevision {
 		return false
 	}
 	if !ok && event.Entry.ModRevision <= m.revision {
 		return false
 	}
-	m.note(event.Entry.Key, max(event.Entry.ModRevision, m.revision, revision))
-	if event.Deleted {
-		delete(m.entries, event.Entry.Key)
-		return true
+	if !event.Deleted {
+		next := m.merged(event.Entry)
+		m.records[event.Entry.Key] = next
+		if ok && next.entry.ModRevision == known.entry.ModRevision {
+			return false
+		}
+	} else {
+		delete(m.records, event.Entry.Key)
 	}
-	m.entries[event.Entry.Key] = event.Entry
+	m.note(event.Entry.Key, max(event.Entry.ModRevision, m.revision, revision))
 	return true
 }
 
 // Since returns what a copy at a revision lacks; false when it lacks nothing.
 func (m *Mirror) Since(have int64) (Delta, bool) {
-	if have >= m.revision {
+	if have >= m.changed {
 		return Delta{}, false
 	}
 	if have < m.floor || m.inGap(have) {
-		return Delta{Full: true, Entries: m.Entries(), Revision: m.revision}, true
+		return Delta{Full: true, Entries: m.written(), Revision: m.revision, Changed: m.changed}, true
 	}
-	d := Delta{From: have, Revision: m.revision, Complete: m.completeAfter(have)}
+	d := Delta{From: have, Revision: m.revision, Changed: m.changed, Complete: m.completeAfter(have)}
 	seen := make(map[string]bool)
 	for _, c := range slices.Backward(m.changes) {
 		if c.revision <= have || seen[c.key] {
 			continue
 		}
 		seen[c.key] = true
-		if e, ok := m.entries[c.key]; ok {
-			d.Entries = append(d.Entries, e)
+		if r, ok := m.records[c.key]; ok {
+			d.Entries = append(d.Entries, r.written())
 			continue
 		}
 		d.Removed = append(d.Removed, c.key)
@@ -169,6 +247,15 @@
 	return d, true
 }
 
+// written returns all records as other routers are told of them.
+func (m *Mirror) written() []kv.Entry {
+	entries := make([]kv.Entry, 0, len(m.records))
+	for _, r := range m.records {
+		entries = append(entries, r.written())
+	}
+	return entries
+}
+
 func (m *Mirror) inGap(revision int64) bool {
 	return slices.ContainsFunc(m.gaps, func(g gap) bool { return g.from < revision && revision < g.to })
 }
@@ -185,7 +272,7 @@
 		return false
 	}
 	if d.Full {
-		return m.Replace(d.Entries, d.Revision)
+		return m.replace(d.Entries, min(d.Changed, d.Revision), d.Revision)
 	}
 	if d.From > m.revision || d.From < m.revision && !d.Complete {
 		return false
--- a/internal/peering/link.go
+++ b/internal/peering/link.go
@@ -4,7 +4,6 @@
 	"context"
 	"net"
 	"net/netip"
-	"time"
 
 	"github.com/pkg/errors"
 	"github.com/rcrowley/go-metrics"
@@ -19,8 +18,6 @@
 	maxDatagram = 1400
 	// identityBytes is the room for the sender's name and incarnation.
 	identityBytes = 100
-	// stateTimeout bounds the wait for a peer's copy of the records.
-	stateTimeout = 2 * time.Second
 )
 
 // ErrPeerAddress reports that the router can't receive from others.
@@ -47,6 +44,8 @@
 	failed      metrics.Counter
 	malformed   metrics.Counter
 	bytes       metrics.Counter
+	// refused counts copies that were not given to a router, see maxServed.
+	refused metrics.Counter
 }
 
 // Open listens on a peer address, over UDP and TCP. Its error is
@@ -70,6 +69,7 @@
 		name: name, incarnation: incarnation, conn: conn, listener: listener, pool: peer.NewPool(),
 		sent: counter("datagrams.sent"), failed: counter("datagrams.failed"),
 		malformed: counter("datagrams.malformed"), bytes: counter("datagrams.bytes"),
+		refused: counter("copies.refused"),
 	}, nil
 }
 
@@ -156,47 +156,9 @@
 			Name: d.GetFrom(), Incarnation: d.GetIncarnation(), CallerAddress: digest.GetCallerAddress(),
 			PeerAddress: digest.GetPeerAddress(), Region: digest.GetRegion(),
 			Accepting: digest.GetAccepting(), Leaving: digest.GetLeaving(), StateRevision: digest.GetStateRevision(),
+			ChangedRevision: digest.GetChangedRevision(), FetchNow: digest.GetFetchNow(),
 			FollowsStore: digest.GetFollowsStore(),
 		},
 		Digest: digest, Strikes: d.GetStrikes(),
 	}, true
 }
-
-// FetchState asks a router for what a copy of the platform's records lacks. The
-// answer is empty when it has nothing newer.
-func (l *Link) FetchState(ctx context.Context, address string, request *peerpb.StateRequest) (*peerpb.StateResponse, error) {
-	stream, err := l.pool.Open(ctx, address, &peerpb.StreamHeader{Request: &peerpb.StreamHeader_State{State: request}})
-	if err != nil {
-		return nil, err
-	}
-	defer stream.Close()
-	response := &peerpb.StateResponse{}
-	if err := stream.Receive(response, stateTimeout); err != nil {
-		l.pool.Discard(address)
-		return nil, err
-	}
-	return response, nil
-}
-
-// ServeState answers other routers' FetchState until the context ends.
-func (l *Link) ServeState(ctx context.Context, state func(*peerpb.StateRequest) *peerpb.StateResponse) error {
-	defer l.pool.Close()
-	return peer.NewServer(l.listener, stateHandler{state: state, failed: l.failed}).Run(ctx)
-}
-
-type stateHandler struct {
-	state  func(*peerpb.StateRequest) *peerpb.StateResponse
-	failed metrics.Counter
-}
-
-// ServeStream implements peer.Handler.
-func (h stateHandler) ServeStream(_ context.Context, header *peerpb.StreamHeader, stream *peer.Stream) {
-	request := header.GetState()
-	if request == nil {
-		h.failed.Inc(1)
-		return
-	}
-	if err := stream.Send(h.state(request)); err != nil {
-		h.failed.Inc(1)
-	}
-}
--- a/internal/peering/roster.go
+++ b/internal/peering/roster.go
@@ -7,7 +7,6 @@
 package peering
 
 import (
-	"cmp"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -37,10 +36,16 @@
 	CallerAddress string
 	PeerAddress   string
 	// Region is empty when it isn't known.
-	Region        string
-	Accepting     bool
-	Leaving       bool
-	StateRevision int64
+	Region    string
+	Accepting bool
+	Leaving   bool
+	// StateRevision is the revision that its copy of the records is complete up
+	// to, ChangedRevision the latest at which that copy may have changed.
+	StateRevision   int64
+	ChangedRevision int64
+	// FetchNow is set when its copy has just changed, by more than fits in a
+	// datagram.
+	FetchNow bool
 	// FollowsStore is set while it follows the platform's store and reaches it.
 	FollowsStore bool
 }
@@ -206,8 +211,9 @@
 }
 
 // Advance notes that a router has a copy of the records at a revision.
-func (r *Roster) Advance(name string, revision int64) {
+func (r *Roster) Advance(name string, changed, revision int64) {
 	if m, ok := r.members[name]; ok {
+		m.router.ChangedRevision = max(m.router.ChangedRevision, changed)
 		m.router.StateRevision = max(m.router.StateRevision, revision)
 	}
 }
@@ -228,14 +234,43 @@
 	return all, before
 }
 
-// Newest returns the live router with the newest copy of the platform's
-// records; false when there is none.
-func (r *Roster) Newest() (Router, bool) {
-	live := r.Live()
-	if len(live) == 0 {
+// NewestChange is the latest revision at which a live router's copy of the
+// records may have changed; zero when there is none.
+func (r *Roster) NewestChange() int64 {
+	newest := int64(0)
+	for _, m := range r.members {
+		if !m.silent {
+			newest = max(newest, m.router.ChangedRevision)
+		}
+	}
+	return newest
+}
+
+// Source returns the live router to fetch from what a copy at a revision lacks,
+// without some; false when there is none. Each router prefers others, always the
+// same ones, so that a change spreads over the fleet without a rush to the first
+// that has it.
+func (r *Roster) Source(have int64, without []string) (Router, bool) {
+	var names []string
+	for name, m := range r.members {
+		if !m.silent && m.router.ChangedRevision > have && !slices.Contains(without, name) {
+			names = append(names, name)
+		}
+	}
+	name, ok := placement.Owner(r.self, names)
+	if !ok {
 		return Router{}, false
 	}
-	return slices.MaxFunc(live, func(a, b Router) int { return cmp.Compare(a.StateRevision, b.StateRevision) }), true
+	return r.members[name].router, true
+}
+
+// SpreadTime is how long what one router tells needs until all have heard of it.
+func (r *Roster) SpreadTime() time.Duration {
+	rounds := 0
+	for reached := Fanout; reached < len(r.members); reached *= Fanout {
+		rounds++
+	}
+	return time.Duration(rounds) * RoundInterval
 }
 
 func (r *Roster) names() []string {
--- a/internal/peering/roster_test.go
+++ b/internal/peering/roster_test.go
@@ -133,19 +133,65 @@
 	}
 }
 
-func TestNewest(t *testing.T) {
+func TestSourcesOfACopy(t *testing.T) {
 	r := NewRoster("self", 1)
-	if _, ok := r.Newest(); ok {
-		t.Error("a newest router among none")
+	if _, ok := r.Source(0, nil); ok || r.NewestChange() != 0 {
+		t.Error("a source among no routers")
 	}
 	for i := range 3 {
 		other := router(i)
-		other.StateRevision = int64(10 - i)
+		other.ChangedRevision, other.StateRevision = int64(10+i), 100
 		r.Hear(start, other)
 	}
-	r.Advance(router(2).Name, 20)
-	if newest, _ := r.Newest(); newest.Name != router(2).Name {
-		t.Errorf("newest is %s", newest.Name)
+	if got := r.NewestChange(); got != 12 {
+		t.Errorf("newest change %d", got)
+	}
+	if source, ok := r.Source(11, nil); !ok || source.Name != router(2).Name {
+		t.Errorf("source %+v", source)
+	}
+	if _, ok := r.Source(11, []string{router(2).Name}); ok {
+		t.Error("a router that was ruled out is a source")
+	}
+	if _, ok := r.Source(12, nil); ok {
+		t.Error("a router without a newer change is a source")
+	}
+	r.Advance(router(0).Name, 20, 120)
+	if source, _ := r.Source(12, nil); source.Name != router(0).Name || source.StateRevision != 120 {
+		t.Errorf("source %+v", source)
+	}
+}
+
+// When all but one lack a copy, they take it from many different routers as soon
+// as these have it.
+func TestSourcesAreSpread(t *testing.T) {
+	const n = 300
+	count := map[string]int{}
+	for i := range n {
+		r := NewRoster(router(i).Name, 1)
+		for j := range n {
+			other := router(j)
+			other.ChangedRevision = 1
+			r.Hear(start, other)
+		}
+		source, _ := r.Source(0, nil)
+		count[source.Name]++
+	}
+	for name, asked := range count {
+		if asked > 10 {
+			t.Errorf("%d of %d routers ask %s", asked, n, name)
+		}
+	}
+}
+
+func TestSpreadTime(t *testing.T) {
+	for n, want := range map[int]time.Duration{1: 0, 16: 0, 17: RoundInterval, 256: RoundInterval, 413: 2 * RoundInterval} {
+		r := NewRoster("self", 1)
+		for i := range n {
+			r.Hear(start, router(i))
+		}
+		if got := r.SpreadTime(); got != want {
+			t.Errorf("%d others: %v, want %v", n, got, want)
+		}
 	}
 }
 
