Edge: routers of a large fleet that start together do not all read the store

All list all records when they start; 300 copies of 3,000 records are more than the store's link carries within the 1.2 s of a list, which is then begun again. Ruled out: reading seeds only (they may be down, and there are none on some installations); waiting in small fleets, whose first seconds count. Change: a starting router first asks the store which routers there are. Routers that have a copy answer those that say that they have none.

--- a/internal/edge/config_test.go
+++ b/internal/edge/config_test.go
@@ -36,6 +36,8 @@
 
 func (revisionProvider) Same(a, b kv.Entry) bool { return slices.Equal(a.Value, b.Value) }
 
+func (revisionProvider) RoutersPrefix() string { return "routers/" }
+
 func (revisionProvider) Registration(string) (string, []byte) { return "self", nil }
 
 func newTestControl(t *testing.T) *control {
--- a/internal/edge/control.go
+++ b/internal/edge/control.go
@@ -46,6 +46,7 @@
 	records recordsState
 	follow  followState
 	warm    warmState
+	start   startState
 	// beat counts the rounds.
 	beat uint32
 }
@@ -65,6 +66,8 @@
 func (c *control) run() error {
 	ticker := time.NewTicker(peering.RoundInterval)
 	defer ticker.Stop()
+	c.start = newStartState(time.Now())
+	go c.edge.findRouters()
 	c.round(time.Now())
 	for {
 		select {
@@ -87,6 +90,7 @@
 	c.decideFollow(now)
 	c.noteAge(now)
 	c.send(now, c.roster.Targets())
+	c.tellReaders(now)
 	c.catchUp(now)
 	c.confirm(now)
 	c.warmUp(now)
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -37,7 +37,7 @@
 	others, before := c.roster.Followers()
 	f := &c.follow
 	switch {
-	case f.stop == nil && others < followers:
+	case f.stop == nil && others < followers && c.mayRead(now):
 		c.startFollowing(others)
 	case f.stop != nil && before >= followers:
 		if f.spareSince.IsZero() {
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -23,7 +23,8 @@
 	c.edge.balancer.HearPeer(d.received.Router.Name, d.received.Digest)
 	c.hearConfirmation(now, d.received)
 	c.hearStrikes(now, d.received)
-	if isNew {
+	if isNew || d.received.Router.StateRevision == 0 && c.mirror.Revision() > 0 {
+		// It has just started, and may fetch a copy here.
 		c.send(now, []string{d.received.Router.PeerAddress})
 	}
 	c.askHeld(d.received.Router)
--- a/internal/edge/provider.go
+++ b/internal/edge/provider.go
@@ -34,6 +34,9 @@
 	// Same reports whether two values of a record mean the same to a router. It
 	// is called by the goroutine that calls Translate.
 	Same(a, b kv.Entry) bool
+	// RoutersPrefix returns the beginning of the keys of all routers' records,
+	// whose values are peer addresses.
+	RoutersPrefix() string
 	// Registration returns the record by which this router is found.
 	Registration(peerAddress string) (key string, value []byte)
 }
