Peering: evidence of others takes 4 bytes a router

Change: only routers that the sender heard itself in its last round are named, so the evidence is never older than a round, and needs no counter: one hash each.

--- a/internal/edge/control.go
+++ b/internal/edge/control.go
@@ -47,8 +47,6 @@
 	follow  followState
 	warm    warmState
 	start   startState
-	// beat counts the rounds.
-	beat uint32
 }
 
 func newControl(ctx context.Context, e *Edge) *control {
@@ -83,7 +81,7 @@
 
 // round ends time spans and tells other routers of this one.
 func (c *control) round(now time.Time) {
-	c.beat = c.roster.Round()
+	c.roster.Round()
 	c.edge.balancer.Tick()
 	c.strikes.Forget(now)
 	c.rosterChanged(c.roster.Tick(now))
@@ -112,12 +110,10 @@
 		Accepting: c.edge.Ready(), Leaving: c.edge.leaving.Load(), StateRevision: c.mirror.Revision(),
 		ChangedRevision: c.mirror.Changed(),
 		ConfirmedAgeMs:  uint32(min(c.records.freshness.Age(now).Milliseconds(), math.MaxUint32)),
-		FollowsStore:    c.follow.healthy(), Beat: c.beat,
+		FollowsStore:    c.follow.healthy(),
 	}
 	d.Loads, d.Held = c.edge.balancer.Digest()
-	for _, b := range c.roster.Beats() {
-		d.Beats = append(d.Beats, &peerpb.Beat{Router: b.Router, Beat: b.Beat})
-	}
+	d.Heard = c.roster.Heard()
 	return d
 }
 
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -19,7 +19,7 @@
 	}
 	changes, isNew := c.roster.Hear(now, d.received.Router)
 	c.rosterChanged(changes)
-	c.roster.HearBeats(now, d.received.Beats)
+	c.roster.HearOf(now, d.received.Digest.GetHeard())
 	c.edge.balancer.HearPeer(d.received.Router.Name, d.received.Digest)
 	c.hearConfirmation(now, d.received)
 	c.hearStrikes(now, d.received)
--- a/internal/peering/link.go
+++ b/internal/peering/link.go
@@ -31,8 +31,6 @@
 	// Router has only a name then.
 	State   *peerpb.StateResponse
 	Strikes []*peerpb.Strike
-	// Beats are evidence that other routers live.
-	Beats []Beat
 }
 
 // Link carries datagrams and copies of records between routers.
@@ -159,16 +157,8 @@
 			PeerAddress: digest.GetPeerAddress(), Region: digest.GetRegion(),
 			Accepting: digest.GetAccepting(), Leaving: digest.GetLeaving(), StateRevision: digest.GetStateRevision(),
 			ChangedRevision: digest.GetChangedRevision(), FetchNow: digest.GetFetchNow(),
-			FollowsStore: digest.GetFollowsStore(), Beat: digest.GetBeat(),
+			FollowsStore: digest.GetFollowsStore(),
 		},
-		Digest: digest, Strikes: d.GetStrikes(), Beats: beats(digest),
+		Digest: digest, Strikes: d.GetStrikes(),
 	}, true
 }
-
-func beats(d *peerpb.Digest) []Beat {
-	out := make([]Beat, 0, len(d.GetBeats()))
-	for _, b := range d.GetBeats() {
-		out = append(out, Beat{Router: b.GetRouter(), Beat: b.GetBeat()})
-	}
-	return out
-}
--- a/internal/peering/roster.go
+++ b/internal/peering/roster.go
@@ -25,9 +25,9 @@
 	// missedRounds is the number of digests in a row whose loss makes a router
 	// count as silent: callers give up on a connection after a second.
 	missedRounds = 4
-	// beatsPerDigest is the number of routers of which a digest passes on
+	// heardPerDigest is the number of routers of which a digest passes on
 	// evidence: at 413 routers, each is heard of every 0.4 s.
-	beatsPerDigest = 16
+	heardPerDigest = 16
 	// missedEvidence is the number of mean times between two pieces of evidence
 	// after which a router counts as silent: by chance, that many pass once in a
 	// hundred thousand times.
@@ -57,15 +57,6 @@
 	FetchNow bool
 	// FollowsStore is set while it follows the platform's store and reaches it.
 	FollowsStore bool
-	// Beat counts its rounds.
-	Beat uint32
-}
-
-// Beat is evidence that a router lived in one of its rounds.
-type Beat struct {
-	// Router is a hash of its name and incarnation.
-	Router uint32
-	Beat   uint32
 }
 
 // WentSilent is what a Change says of a router that is no longer heard.
@@ -99,13 +90,11 @@
 	// order is the rest of the current turn through all members.
 	order []string
 	// fresh are the members that were heard themselves in this round, passedOn
-	// those of the last one, whose beats are passed on.
+	// those of the last one, of which others are told.
 	fresh    []string
 	passedOn []string
-	// byHash are the names of members by the hash of Beat.
+	// byHash are the names of members by incarnationHash.
 	byHash map[uint32]string
-	// beat counts the own rounds.
-	beat uint32
 }
 
 // NewRoster returns a Roster that knows no other router.
@@ -133,53 +122,43 @@
 		return nil, false
 	}
 	isNew = !ok || m.silent || router.Incarnation != m.router.Incarnation
-	if isNew || router.Beat > m.router.Beat {
-		r.fresh = append(r.fresh, router.Name)
-	} else {
-		// Evidence of a later round came through others.
-		router.Beat = m.router.Beat
-	}
-	delete(r.byHash, beatHash(m.router))
-	r.byHash[beatHash(router)] = router.Name
+	r.fresh = append(r.fresh, router.Name)
+	delete(r.byHash, incarnationHash(m.router))
+	r.byHash[incarnationHash(router)] = router.Name
 	changes = m.hear(now, router)
 	return changes, isNew
 }
 
-// beatHash is the short name of one start of a router.
-func beatHash(router Router) uint32 {
+// incarnationHash is the short name of one start of a router.
+func incarnationHash(router Router) uint32 {
 	return uint32(placement.Key(router.Name + "/" + strconv.FormatUint(router.Incarnation, 10)))
 }
 
-// Round begins a round and returns its number.
-func (r *Roster) Round() uint32 {
-	r.beat++
-	r.passedOn, r.fresh = r.fresh, nil
-	return r.beat
-}
+// Round begins a round.
+func (r *Roster) Round() { r.passedOn, r.fresh = r.fresh, nil }
 
-// Beats returns evidence that others live, to be passed on with the digests of a
-// round: of those that were heard themselves in the last one, since older
-// evidence is mostly known. A fleet whose routers all tell each other needs none.
-func (r *Roster) Beats() []Beat {
+// Heard returns the hashes of routers that were heard themselves in the last
+// round, to be passed on with a digest: most evidence of a router comes this way
+// in a large fleet. One whose routers all tell each other needs none.
+func (r *Roster) Heard() []uint32 {
 	if len(r.members) <= Fanout {
 		return nil
 	}
-	var out []Beat
+	var out []uint32
 	for _, name := range r.passedOn {
-		if m, ok := r.members[name]; ok && !m.silent && len(out) < beatsPerDigest {
-			out = append(out, Beat{Router: beatHash(m.router), Beat: m.router.Beat})
+		if m, ok := r.members[name]; ok && !m.silent && len(out) < heardPerDigest {
+			out = append(out, incarnationHash(m.router))
 		}
 	}
 	return out
 }
 
-// HearBeats takes evidence that another router passes on. It says nothing of
+// HearOf takes evidence that another router passes on. It says nothing of
 // routers that are silent already: these have to be heard themselves.
-func (r *Roster) HearBeats(now time.Time, beats []Beat) {
-	for _, b := range beats {
-		m, ok := r.members[r.byHash[b.Router]]
-		if ok && !m.silent && b.Beat > m.router.Beat {
-			m.router.Beat, m.heard = b.Beat, now
+func (r *Roster) HearOf(now time.Time, hashes []uint32) {
+	for _, hash := range hashes {
+		if m, ok := r.members[r.byHash[hash]]; ok && !m.silent {
+			m.heard = now
 		}
 	}
 }
@@ -220,7 +199,7 @@
 		}
 		if silence > forgetAfter {
 			delete(r.members, name)
-			delete(r.byHash, beatHash(m.router))
+			delete(r.byHash, incarnationHash(m.router))
 		}
 	}
 	return changes
@@ -234,8 +213,8 @@
 		return direct
 	}
 	// A router hears Fanout digests a round, each tells of its sender and of
-	// beatsPerDigest others.
-	perRound := float64(Fanout*(1+beatsPerDigest)) / float64(len(r.members))
+	// heardPerDigest others.
+	perRound := float64(Fanout*(1+heardPerDigest)) / float64(len(r.members))
 	return max(direct, time.Duration(missedEvidence/perRound*float64(RoundInterval)))
 }
 
--- a/internal/peering/roster_test.go
+++ b/internal/peering/roster_test.go
@@ -80,8 +80,8 @@
 		told := map[string]bool{}
 		for range (n + Fanout - 1) / Fanout {
 			targets := r.Targets()
-			if len(targets) > Fanout || len(r.Beats()) > beatsPerDigest {
-				t.Fatalf("%d routers: a round tells %d of %d", n, len(targets), len(r.Beats()))
+			if len(targets) > Fanout || len(r.Heard()) > heardPerDigest {
+				t.Fatalf("%d routers: a round tells %d of %d", n, len(targets), len(r.Heard()))
 			}
 			for _, target := range targets {
 				told[target] = true
@@ -129,13 +129,13 @@
 			continue
 		}
 		said := router(i)
-		said.Beat = r.Round()
+		r.Round()
 		for _, to := range r.Targets() {
 			j := f.byPeer[to]
-			beats := r.Beats()
+			heard := r.Heard()
 			if f.up[j] && f.random.Float64() >= loss {
 				f.rosters[j].Hear(f.now, said)
-				f.rosters[j].HearBeats(f.now, beats)
+				f.rosters[j].HearOf(f.now, heard)
 			}
 		}
 	}
