--- a/internal/edge/confirm.go
+++ b/internal/edge/confirm.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"math/rand/v2"
 	"time"
 
@@ -61,6 +62,9 @@
 	}
 }
 
+// unknownAge is what a digest tells of a copy that was never confirmed.
+const unknownAge = math.MaxUint32 * time.Millisecond
+
 // confirmedWithin is the age from which on records count as unconfirmed: two
 // questions to the store in a row had no answer.
 const confirmedWithin = 2 * time.Second
@@ -96,13 +100,14 @@
 // hearConfirmation takes another router's word that a copy was complete, if this
 // copy lacks no change that the other has.
 func (c *control) hearConfirmation(now time.Time, r peering.Received) {
-	if r.Router.ChangedRevision > c.mirror.Revision() {
+	age := time.Duration(r.Digest.GetConfirmedAgeMs()) * time.Millisecond
+	if c.mirror.Revision() == 0 || r.Router.ChangedRevision > c.mirror.Revision() || age >= unknownAge {
 		return
 	}
 	if c.mirror.Advance(r.Router.ChangedRevision, r.Router.StateRevision) {
 		c.advanced(now)
 	}
-	c.confirmed(now, now.Add(-time.Duration(r.Digest.GetConfirmedAgeMs())*time.Millisecond))
+	c.confirmed(now, now.Add(-age))
 }
 
 // confirmed notes that the copy was complete at a moment.
--- a/internal/edge/control.go
+++ b/internal/edge/control.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -109,7 +108,7 @@
 		CallerAddress: s.CallerAddress, PeerAddress: s.PeerAddress, Region: s.Place.Region,
 		Accepting: c.edge.Ready(), Leaving: c.edge.leaving.Load(), StateRevision: c.mirror.Revision(),
 		ChangedRevision: c.mirror.Changed(),
-		ConfirmedAgeMs:  uint32(min(c.records.freshness.Age(now).Milliseconds(), math.MaxUint32)),
+		ConfirmedAgeMs:  uint32(min(c.records.freshness.Age(now), unknownAge).Milliseconds()),
 		FollowsStore:    c.follow.healthy(),
 	}
 	d.Loads, d.Held = c.edge.balancer.Digest()
