--- a/internal/edge/records.go
+++ b/internal/edge/records.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/verbenatrail/verbenatrail/internal/decisionlog"
 	"github.com/verbenatrail/verbenatrail/internal/mirror"
 	"github.com/verbenatrail/verbenatrail/internal/peering"
@@ -175,6 +177,10 @@
 	if s.err != nil {
 		r.passedOver = append(r.passedOver, s.from)
 		r.nextFetch = now.Add(elsewherePause)
+		if errors.Is(s.err, peering.ErrBusy) {
+			log.Detail("records not fetched", decisionlog.Fields{"router": s.from, "error": s.err.Error()})
+			return
+		}
 		log.Failure("records not fetched", s.err, decisionlog.Fields{"router": s.from})
 		return
 	}
