--- a/internal/edge/starting_test.go
+++ b/internal/edge/starting_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/pkg/errors"
 
+	"github.com/verbenatrail/verbenatrail/internal/instances"
 	"github.com/verbenatrail/verbenatrail/internal/kv"
 	"github.com/verbenatrail/verbenatrail/internal/mirror"
 )
@@ -68,6 +70,31 @@
 	}
 }
 
+// Routers that start together ask each instance once what it holds, although they
+// have not heard each other yet.
+func TestStartingRoutersShareTheInstances(t *testing.T) {
+	const n, engines = 30, 140
+	all := append(manyRouters(n), "127.0.0.1:0")
+	var listed []instances.Instance
+	for i := range engines {
+		listed = append(listed, instances.Instance{ID: fmt.Sprintf("i-%03d", i)})
+	}
+	c := newTestControl(t)
+	asked := 0
+	for _, self := range all {
+		c.edge.options.Settings.PeerAddress = self
+		c.found = slices.DeleteFunc(slices.Clone(all), func(a string) bool { return a == self })
+		share := c.ownShare(slices.Clone(listed))
+		if len(share) > engines/4 {
+			t.Errorf("%s asks %d of %d instances", self, len(share), engines)
+		}
+		asked += len(share)
+	}
+	if asked != engines {
+		t.Errorf("%d questions for %d instances", asked, engines)
+	}
+}
+
 func TestARouterWithACopyMayReadTheStore(t *testing.T) {
 	c := newTestControl(t)
 	c.start = startState{found: true, routers: 300}
--- a/internal/edge/warm.go
+++ b/internal/edge/warm.go
@@ -93,18 +93,22 @@
 		return
 	}
 	c.warm.asked = now
-	names := []string{c.edge.options.Settings.Name}
-	for _, r := range c.roster.Live() {
-		names = append(names, r.Name)
-	}
-	slices.Sort(names)
-	for _, i := range c.edge.balancer.Instances(c.edge.table.Load().ModelServices()) {
-		if owner, _ := placement.Owner(i.ID, names); owner == c.edge.options.Settings.Name {
-			go c.edge.takeInventory(i)
-		}
+	for _, i := range c.ownShare(c.edge.balancer.Instances(c.edge.table.Load().ModelServices())) {
+		go c.edge.takeInventory(i)
 	}
 }
 
+// ownShare returns the instances that this router asks, among all routers that
+// have a record: of those that start together, few have been heard yet.
+func (c *control) ownShare(all []instances.Instance) []instances.Instance {
+	self := c.edge.options.Settings.PeerAddress
+	sharers := append([]string{self}, c.found...)
+	return slices.DeleteFunc(all, func(i instances.Instance) bool {
+		owner, _ := placement.Owner(i.ID, sharers)
+		return owner != self
+	})
+}
+
 type inventoryTaken struct {
 	instance instances.Instance
 	parts    []uint64
--- a/internal/mirror/follower.go
+++ b/internal/mirror/follower.go
@@ -17,11 +17,9 @@
 	// which a configuration has to be in force.
 	minRetry = 100 * time.Millisecond
 	maxRetry = 500 * time.Millisecond
-	// listTimeout bounds the first list: a few answers of a slow store. After a
-	// loss of all machines, nothing is served until the first list is in. Each
-	// failure doubles it up to maxListTimeout, so that a long list comes through.
-	listTimeout    = 1200 * time.Millisecond
-	maxListTimeout = 10 * time.Second
+	// listTimeout bounds one list with all its pages. The store's client bounds
+	// each of them.
+	listTimeout = 10 * time.Second
 )
 
 // Update is one step of a Follower.
@@ -53,7 +51,7 @@
 	listed := false
 	for ctx.Err() == nil {
 		if !listed {
-			if err := f.list(ctx, min(listTimeout<<min(failures, 4), maxListTimeout)); err != nil {
+			if err := f.list(ctx); err != nil {
 				failures++
 				f.fail(ctx, err, failures)
 				continue
@@ -84,8 +82,8 @@
 	_ = pause.For(ctx, delay/2+rand.N(delay/2+1))
 }
 
-func (f *Follower) list(ctx context.Context, timeout time.Duration) error {
-	ctx, cancel := context.WithTimeout(ctx, timeout)
+func (f *Follower) list(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
 	entries, revision, err := f.Store.List(ctx, f.Prefix)
 	if err != nil {
