--- a/internal/peering/roster.go
+++ b/internal/peering/roster.go
@@ -10,10 +10,7 @@
 import (
 	"math/rand/v2"
 	"slices"
-	"strconv"
 	"time"
-
-	"github.com/verbenatrail/verbenatrail/internal/placement"
 )
 
 const (
@@ -76,6 +73,8 @@
 	// heard is when there was the last evidence that the router lives.
 	heard  time.Time
 	silent bool
+	// fresh is set while it is in Roster.fresh.
+	fresh bool
 }
 
 // Roster is what one router knows of the others. It is pure, and not safe for
@@ -122,47 +121,13 @@
 		return nil, false
 	}
 	isNew = !ok || m.silent || router.Incarnation != m.router.Incarnation
-	r.fresh = append(r.fresh, router.Name)
+	r.noteFresh(m, router.Name)
 	delete(r.byHash, incarnationHash(m.router))
 	r.byHash[incarnationHash(router)] = router.Name
 	changes = m.hear(now, router)
 	return changes, isNew
 }
 
-// incarnationHash is the short name of one start of a router.
-func incarnationHash(router Router) uint32 {
-	return uint32(placement.Key(router.Name + "/" + strconv.FormatUint(router.Incarnation, 10)))
-}
-
-// Round begins a round.
-func (r *Roster) Round() { r.passedOn, r.fresh = r.fresh, nil }
-
-// Heard returns the hashes of routers that were heard themselves in the last
-// round, to be passed on with a digest: most evidence of a router comes this way
-// in a large fleet. One whose routers all tell each other needs none.
-func (r *Roster) Heard() []uint32 {
-	if len(r.members) <= Fanout {
-		return nil
-	}
-	var out []uint32
-	for _, name := range r.passedOn {
-		if m, ok := r.members[name]; ok && !m.silent && len(out) < heardPerDigest {
-			out = append(out, incarnationHash(m.router))
-		}
-	}
-	return out
-}
-
-// HearOf takes evidence that another router passes on. It says nothing of
-// routers that are silent already: these have to be heard themselves.
-func (r *Roster) HearOf(now time.Time, hashes []uint32) {
-	for _, hash := range hashes {
-		if m, ok := r.members[r.byHash[hash]]; ok && !m.silent {
-			m.heard = now
-		}
-	}
-}
-
 func (m *member) hear(now time.Time, router Router) []Change {
 	var changes []Change
 	silence := now.Sub(m.heard)
@@ -205,19 +170,6 @@
 	return changes
 }
 
-// Patience is how long there may be no evidence of a router before it counts as
-// silent.
-func (r *Roster) Patience() time.Duration {
-	const direct = missedRounds * RoundInterval
-	if len(r.members) <= Fanout {
-		return direct
-	}
-	// A router hears Fanout digests a round, each tells of its sender and of
-	// heardPerDigest others.
-	perRound := float64(Fanout*(1+heardPerDigest)) / float64(len(r.members))
-	return max(direct, time.Duration(missedEvidence/perRound*float64(RoundInterval)))
-}
-
 // Live returns the routers that were heard lately, in name order.
 func (r *Roster) Live() []Router {
 	var out []Router
@@ -272,69 +224,6 @@
 	return out
 }
 
-// Advance notes that a router has a copy of the records at a revision.
-func (r *Roster) Advance(name string, changed, revision int64) {
-	if m, ok := r.members[name]; ok {
-		m.router.ChangedRevision = max(m.router.ChangedRevision, changed)
-		m.router.StateRevision = max(m.router.StateRevision, revision)
-	}
-}
-
-// Followers returns the number of live routers that follow the store, and of
-// those among them that go before this one.
-func (r *Roster) Followers() (all, before int) {
-	own := placement.Key(r.self)
-	for _, router := range r.Live() {
-		if !router.FollowsStore || router.Leaving {
-			continue
-		}
-		all++
-		if placement.Key(router.Name) < own {
-			before++
-		}
-	}
-	return all, before
-}
-
-// NewestChange is the latest revision at which a live router's copy of the
-// records may have changed; zero when there is none.
-func (r *Roster) NewestChange() int64 {
-	newest := int64(0)
-	for _, m := range r.members {
-		if !m.silent {
-			newest = max(newest, m.router.ChangedRevision)
-		}
-	}
-	return newest
-}
-
-// Source returns the live router to fetch from what a copy at a revision lacks,
-// without some; false when there is none. Each router prefers others, always the
-// same ones, so that a change spreads over the fleet without a rush to the first
-// that has it.
-func (r *Roster) Source(have int64, without []string) (Router, bool) {
-	var names []string
-	for name, m := range r.members {
-		if !m.silent && m.router.ChangedRevision > have && !slices.Contains(without, name) {
-			names = append(names, name)
-		}
-	}
-	name, ok := placement.Owner(r.self, names)
-	if !ok {
-		return Router{}, false
-	}
-	return r.members[name].router, true
-}
-
-// SpreadTime is how long what one router tells needs until all have heard of it.
-func (r *Roster) SpreadTime() time.Duration {
-	rounds := 0
-	for reached := Fanout; reached < len(r.members); reached *= Fanout {
-		rounds++
-	}
-	return time.Duration(rounds) * RoundInterval
-}
-
 func (r *Roster) names() []string {
 	names := make([]string, 0, len(r.members))
 	for name := range r.members {
--- a/internal/peering/roster_test.go
+++ b/internal/peering/roster_test.go
@@ -154,6 +154,27 @@
 	return silent
 }
 
+// A router that is heard several times in a round is passed on once, in the next
+// round only.
+func TestEvidenceIsPassedOnOnce(t *testing.T) {
+	r := NewRoster("self", 1)
+	for i := range Fanout + 1 {
+		r.Hear(start, router(i))
+	}
+	r.Round()
+	r.Round()
+	if got := r.Heard(); got != nil {
+		t.Errorf("evidence of an earlier round: %v", got)
+	}
+	for range 3 {
+		r.Hear(start, router(1))
+	}
+	r.Round()
+	if got := r.Heard(); len(got) != 1 || got[0] != incarnationHash(router(1)) {
+		t.Errorf("passed on: %v", got)
+	}
+}
+
 // In a fleet of any size, a router that dies counts as silent everywhere within a
 // few seconds, and one that lives hardly ever, though one datagram in fifty is
 // lost.
