--- a/internal/edge/control.go
+++ b/internal/edge/control.go
@@ -50,8 +50,8 @@
 
 func newControl(ctx context.Context, e *Edge) *control {
 	c := &control{
-		edge: e, ctx: ctx, mirror: mirror.New(e.options.Provider.Same), seeds: e.options.Settings.Seeds, strikes: containment.NewQueue(),
-		roster: peering.NewRoster(e.options.Settings.Name, rand.Uint64()),
+		edge: e, ctx: ctx, mirror: mirror.New(e.options.Provider.Same), seeds: e.options.Settings.Seeds,
+		roster: peering.NewRoster(e.options.Settings.Name, rand.Uint64()), strikes: containment.NewQueue(),
 	}
 	c.listRouters()
 	// At the first start of the whole system, instances hold nothing.
