Tests: sources of ports claim blocks of their own

A source gives out ports from a place that depends on the process id; 131 ports a process in a range of 10,000, so that the stretches of two processes may overlap, and a port is free while its router is stopped. Change: a source claims blocks of 50 ports by listening on the first port of each as long as it lives.

--- a/internal/freeport/freeport.go
+++ b/internal/freeport/freeport.go
@@ -19,41 +19,68 @@
 	// connections, so that none is taken between the check and its use.
 	firstPort = 20000
 	lastPort  = 30000
-	// portStride spreads the runs of different processes over the range.
-	portStride = 131
+	// blockSize is the number of ports that a source claims together.
+	blockSize = 50
+	blocks    = (lastPort - firstPort) / blockSize
+	// blockStride spreads the first blocks of different processes over the range.
+	blockStride = 7
 )
 
-// Ports gives out addresses that are free for TCP and UDP, each once. Layouts
-// that run at the same time share one: else the port of a killed process could
-// go to another fleet while the callers of the first still use it. It is safe
-// for concurrent use.
+// Ports gives out addresses that are free for TCP and UDP, each once. It claims
+// blocks of ports by listening on the first one of each: a port whose process has
+// been stopped, and is to start again, must not go to another run meanwhile.
+// Layouts that run at the same time share one source. It is safe for concurrent
+// use.
 type Ports struct {
-	mu   sync.Mutex
-	next int
-	left int
+	mu sync.Mutex
+	// block is the next block to claim, tried the number of those tried.
+	block, tried int
+	// next and end are the ports of the claimed block that are left.
+	next, end int
+	// claims are held until the process ends.
+	claims []net.Listener
 }
 
 // NewPorts returns a source that starts at a place of this process's own.
-func NewPorts() *Ports {
-	return &Ports{next: os.Getpid() * portStride % (lastPort - firstPort), left: lastPort - firstPort}
-}
+func NewPorts() *Ports { return &Ports{block: os.Getpid() * blockStride % blocks} }
 
 // Take returns a free IP number and port, or ErrNone.
 func (p *Ports) Take() (string, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for p.left > 0 {
-		p.left--
-		port := firstPort + p.next
-		p.next = (p.next + 1) % (lastPort - firstPort)
-		address := net.JoinHostPort(loopback, strconv.Itoa(port))
-		if free(address) {
-			return address, nil
+	for {
+		for p.next < p.end {
+			address := addressOf(p.next)
+			p.next++
+			if free(address) {
+				return address, nil
+			}
+		}
+		if !p.claim() {
+			return "", ErrNone
 		}
 	}
-	return "", ErrNone
 }
 
+// claim takes the next block that no other source has; false when there is none.
+func (p *Ports) claim() bool {
+	for p.tried < blocks {
+		first := firstPort + p.block*blockSize
+		p.block = (p.block + 1) % blocks
+		p.tried++
+		listener, err := net.Listen("tcp", addressOf(first))
+		if err != nil {
+			continue
+		}
+		p.claims = append(p.claims, listener)
+		p.next, p.end = first+1, first+blockSize
+		return true
+	}
+	return false
+}
+
+func addressOf(port int) string { return net.JoinHostPort(loopback, strconv.Itoa(port)) }
+
 func free(address string) bool {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
