Instances: routers tell each other what they see fail

Ruled out: lower weights of a router's own verdict (sound services fail one call in seven by themselves); telling uses besides faults, some 40 instances a digest.

Change: digests tell the decayed number of broken, silent and failed uses of up to 16 instances. An instance with three or more over all routers, and three times the mean of the others of its service, is degraded until it has less than one. What all instances of a service do is the service's own.

Tests: routers find together what none finds alone, trust returns, failures of a whole service and refusals for load make no outlier, old words are forgotten.

--- a/internal/dispatch/balancer_test.go
+++ b/internal/dispatch/balancer_test.go
@@ -90,8 +90,9 @@
 func TestRoutersHearOfEachOthersCalls(t *testing.T) {
 	one, other := newTestBalancer(12), newTestBalancer(12)
 	p := one.mustChoose(t, prompt("s"))
-	loads, held := one.Digest()
-	other.HearPeer("one", &peerpb.Digest{Loads: loads, Held: held})
+	digest := &peerpb.Digest{}
+	one.FillDigest(digest)
+	other.HearPeer("one", digest)
 	q := other.mustChoose(t, prompt("s"))
 	if q.instance.ID != p.instance.ID || q.unread != 0 || q.load != 1 {
 		t.Errorf("%+v after %+v", q, p)
--- a/internal/dispatch/beliefs.go
+++ b/internal/dispatch/beliefs.go
@@ -25,10 +25,23 @@
 	}
 	b.mu.Lock()
 	b.loads.HearPeer(b.options.Now(), name, work)
+	b.hearFaults(name, d.GetFaults())
 	b.mu.Unlock()
 	b.HearHeld(d.GetHeld())
 }
 
+// hearFaults takes what another router has seen fail of instances that are
+// listed. The caller holds the lock.
+func (b *Balancer) hearFaults(name string, told []*peerpb.InstanceFaults) {
+	faults := make(instances.Faults, len(told))
+	for _, t := range told {
+		if id, ok := b.names[t.GetInstance()]; ok {
+			faults[id] += float64(t.GetTenths()) / faultTenths
+		}
+	}
+	b.registry.HearFaults(b.options.Now(), name, faults)
+}
+
 // ForgetPeer drops the loads of a router that has gone.
 func (b *Balancer) ForgetPeer(name string) {
 	b.mu.Lock()
--- a/internal/dispatch/holdings.go
+++ b/internal/dispatch/holdings.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -9,11 +10,12 @@
 	"github.com/verbenatrail/verbenatrail/internal/peerpb"
 )
 
-// maxDigestLoads and maxDigestHeld keep a digest within one datagram: about 13
-// and 16 bytes each.
+// maxDigestLoads, maxDigestHeld and maxDigestFaults keep a digest within one
+// datagram: about 13, 16 and 9 bytes each.
 const (
-	maxDigestLoads = 56
-	maxDigestHeld  = 24
+	maxDigestLoads  = 48
+	maxDigestHeld   = 20
+	maxDigestFaults = 16
 	// heldRepeat is how long a part that an instance has read is told: a few
 	// rounds, since datagrams may be lost.
 	heldRepeat = time.Second
@@ -26,10 +28,30 @@
 	part     uint64
 }
 
-// Digest returns what other routers are told of this one's calls.
-func (b *Balancer) Digest() ([]*peerpb.InstanceLoad, []*peerpb.HeldPart) {
+// FillDigest sets what other routers are told of this one's calls.
+func (b *Balancer) FillDigest(d *peerpb.Digest) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	d.Loads, d.Held = b.digestLoads()
+	d.Faults = b.digestFaults()
+}
+
+// faultTenths is the unit of faults in digests.
+const faultTenths = 10
+
+func (b *Balancer) digestFaults() []*peerpb.InstanceFaults {
+	var out []*peerpb.InstanceFaults
+	for id, faults := range b.registry.OwnFaults(b.options.Now()) {
+		if len(out) < maxDigestFaults {
+			out = append(out, &peerpb.InstanceFaults{
+				Instance: loadshare.Hash(id), Tenths: uint32(math.Round(faults * faultTenths)),
+			})
+		}
+	}
+	return out
+}
+
+func (b *Balancer) digestLoads() ([]*peerpb.InstanceLoad, []*peerpb.HeldPart) {
 	var loads []*peerpb.InstanceLoad
 	for id, work := range b.loads.Own() {
 		if len(loads) < maxDigestLoads {
--- a/internal/edge/control.go
+++ b/internal/edge/control.go
@@ -111,7 +111,7 @@
 		ConfirmedAgeMs:  uint32(min(c.records.freshness.Age(now), unknownAge).Milliseconds()),
 		FollowsStore:    c.follow.healthy(),
 	}
-	d.Loads, d.Held = c.edge.balancer.Digest()
+	c.edge.balancer.FillDigest(d)
 	d.Heard = c.roster.Heard()
 	return d
 }
--- a/internal/instances/health.go
+++ b/internal/instances/health.go
@@ -39,6 +39,9 @@
 	uses     float64
 	failures float64
 	slowness float64
+	// faults are the failures that other routers are told of: those that don't
+	// come from too much load or too little time.
+	faults float64
 }
 
 func (h *health) observe(now time.Time, result Result, slowness float64) {
@@ -52,14 +55,19 @@
 		h.broken, h.hold = 0, 0
 	case Unreachable, Silent:
 		h.failures++
+		h.faults++
 		h.suspect(now)
 	case Broken:
 		h.failures++
+		h.faults++
 		h.broken++
 		if h.broken >= brokenToSuspect {
 			h.suspect(now)
 		}
-	case Failed, Shed, Late:
+	case Failed:
+		h.failures++
+		h.faults++
+	case Shed, Late:
 		h.failures++
 	case Replaced:
 		h.replaced = true
@@ -81,10 +89,18 @@
 		h.uses *= factor
 		h.failures *= factor
 		h.slowness *= factor
+		h.faults *= factor
 	}
 	h.updated = now
 }
 
+// faultsAt returns the faults as they have decayed by a moment.
+func (h *health) faultsAt(now time.Time) float64 {
+	faded := *h
+	faded.decay(now)
+	return faded.faults
+}
+
 func (h *health) state(now time.Time) State {
 	if now.Before(h.holdUntil) {
 		return Suspect
--- a/internal/instances/instances.go
+++ b/internal/instances/instances.go
@@ -31,6 +31,10 @@
 	health  health
 	told    State
 	removed bool
+	// faults is the decayed number of faults that all routers have seen; outlier
+	// is set while it is far above those of the others of the service.
+	faults  float64
+	outlier bool
 }
 
 // Registry holds the instances that one router knows.
@@ -42,11 +46,13 @@
 	// returned is the end of the last outage in which entries may have lapsed.
 	returned time.Time
 	services map[string][]*entry
+	// told is what other routers have seen fail.
+	told map[string]toldFaults
 }
 
 // New returns an empty Registry.
 func New() *Registry {
-	return &Registry{entries: make(map[string]*entry), services: make(map[string][]*entry)}
+	return &Registry{entries: make(map[string]*entry), services: make(map[string][]*entry), told: make(map[string]toldFaults)}
 }
 
 // ListingLost tells that the listing was not confirmed since a moment.
@@ -125,16 +131,22 @@
 	return r.returned.Add(returnGrace)
 }
 
-// Tick ends the grace of lapsed entries.
+// Tick ends the grace of lapsed entries, and finds instances that fail more than
+// others.
 func (r *Registry) Tick(now time.Time) []Change {
 	var changes []Change
+	r.findOutliers(now)
 	for _, id := range r.ids() {
 		e := r.entries[id]
 		if e.lapsed {
 			changes = append(changes, r.expire(now, e)...)
 			continue
 		}
-		changes = append(changes, e.report(now, "health")...)
+		reason := "health"
+		if e.outlier {
+			reason = "fails more than others of its service"
+		}
+		changes = append(changes, e.report(now, reason)...)
 	}
 	if len(changes) > 0 {
 		r.index()
@@ -222,6 +234,8 @@
 		return Gone
 	case e.instance.Draining:
 		return Draining
+	case e.outlier:
+		return max(e.health.state(now), Degraded)
 	default:
 		return e.health.state(now)
 	}
