--- a/internal/dispatch/beliefs.go
+++ b/internal/dispatch/beliefs.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"math"
 	"time"
 
 	"github.com/verbenatrail/verbenatrail/internal/decisionlog"
@@ -130,6 +131,7 @@
 		b.options.Log.Decision("instance changed", decisionlog.Fields{
 			"instance": change.Instance.ID, "service": change.Instance.Service,
 			"address": change.Instance.Address, "state": change.State.String(), "reason": change.Reason,
+			"faults": math.Round(change.Faults*faultTenths) / faultTenths,
 		})
 	}
 }
--- a/internal/instances/instances.go
+++ b/internal/instances/instances.go
@@ -248,5 +248,5 @@
 		return nil
 	}
 	e.told = state
-	return []Change{{Instance: e.instance, State: state, Reason: reason}}
+	return []Change{{Instance: e.instance, State: state, Reason: reason, Faults: e.faults}}
 }
--- a/internal/instances/types.go
+++ b/internal/instances/types.go
@@ -89,4 +89,6 @@
 	Instance Instance
 	State    State
 	Reason   string
+	// Faults is the decayed number of faults that all routers have seen.
+	Faults float64
 }
