Digests: a busy router's digest fits in a datagram with faults, too

Cause: with 48 loads, 20 parts and 16 faults, what a digest tells of instances took 1,082 bytes; with the router's own data, 16 hashes and four strikes that is beyond 1,472. Change: 44, 18 and 14. Test: TestDigestsOfABusyRouterAreBounded (before: 1,082 of 1,040 bytes).

--- a/internal/dispatch/balancer_test.go
+++ b/internal/dispatch/balancer_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/verbenatrail/verbenatrail/internal/call"
 	"github.com/verbenatrail/verbenatrail/internal/containment"
@@ -209,3 +210,22 @@
 		})
 	}
 }
+
+// What a busy router tells of instances leaves room in a datagram for who it is
+// and whom it heard.
+func TestDigestsOfABusyRouterAreBounded(t *testing.T) {
+	const calls, room = 400, 1040
+	b := newTestBalancer(140)
+	for i := range calls {
+		p := b.mustChoose(t, prompt(fmt.Sprintf("subject-%d", i)))
+		b.report(p, &routing.Route{Name: "r"}, instances.Broken, 0)
+	}
+	d := &peerpb.Digest{}
+	b.FillDigest(d)
+	if len(d.GetLoads()) != maxDigestLoads || len(d.GetHeld()) != maxDigestHeld || len(d.GetFaults()) != maxDigestFaults {
+		t.Errorf("%d loads, %d parts, %d faults", len(d.GetLoads()), len(d.GetHeld()), len(d.GetFaults()))
+	}
+	if size := proto.Size(d); size > room {
+		t.Errorf("%d bytes", size)
+	}
+}
--- a/internal/dispatch/holdings.go
+++ b/internal/dispatch/holdings.go
@@ -13,9 +13,9 @@
 // maxDigestLoads, maxDigestHeld and maxDigestFaults keep a digest within one
 // datagram: about 13, 16 and 9 bytes each.
 const (
-	maxDigestLoads  = 48
-	maxDigestHeld   = 20
-	maxDigestFaults = 16
+	maxDigestLoads  = 44
+	maxDigestHeld   = 18
+	maxDigestFaults = 14
 	// heldRepeat is how long a part that an instance has read is told: a few
 	// rounds, since datagrams may be lost.
 	heldRepeat = time.Second
