--- a/internal/peering/fuzz_test.go
+++ b/internal/peering/fuzz_test.go
@@ -27,7 +27,7 @@
 func FuzzExpand(f *testing.F) {
 	records := &peerpb.StateResponse{Revision: 7}
 	for i := range 400 {
-		records.Entries = append(records.Entries, &peerpb.StateEntry{Key: fmt.Sprintf("servers/%04d", i), Value: []byte("value")})
+		records.Entries = append(records.Entries, &peerpb.StateEntry{Key: fmt.Sprintf("record/%04d", i), Value: []byte("value")})
 	}
 	compressed := compact(records).GetCompressed()
 	if len(compressed) == 0 {
