mirror: a complete copy replaces values that changed in between

Cause: a router whose record changes and changes back between two lists of the store sees no change and sends none; the copies of its peers keep the revision of the earlier write. When one of these sends a complete copy, a router that has seen the value in between keeps it, since its write is the later one, for good. Replacing a copy now keeps a known value only if it was written after the list's own revision.

The new test fails on the code of before: the third copy has the value in between at the revision of the store.

--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -102,26 +102,33 @@
 	}
 	next := make(map[string]record, len(entries))
 	for _, e := range entries {
-		next[e.Key] = m.mergeEntry(e)
+		next[e.Key] = m.mergeListed(e, revision)
 	}
 	m.recordReplacement(next, changed, revision)
 	m.records, m.revision = next, revision
 	return true
 }
 
+// mergeListed returns the record that results from an entry of a list. A list isn't a
+// snapshot, so the known value is kept if it was written after the list's revision
+// and is the later one. A known write up to that revision tells nothing, although the
+// list may name an earlier one: a copy whose record was changed and changed back
+// between two updates still has the earlier write.
+func (m *Mirror) mergeListed(e kv.Entry, listRevision int64) record {
+	if known, ok := m.records[e.Key]; ok && known.lastWrite > listRevision && known.lastWrite >= e.ModRevision {
+		return known
+	}
+	return m.mergeEntry(e)
+}
+
 // mergeEntry returns the record that results from a write.
 func (m *Mirror) mergeEntry(e kv.Entry) record {
 	known, ok := m.records[e.Key]
-	switch {
-	case ok && known.lastWrite >= e.ModRevision:
-		// A list isn't a snapshot: the value of a later event is kept.
-		return known
-	case ok && m.equivalent(known.entry, e):
-		known.entry.Value, known.lastWrite = e.Value, e.ModRevision
+	if ok && m.equivalent(known.entry, e) {
+		known.entry.Value, known.lastWrite = e.Value, max(known.lastWrite, e.ModRevision)
 		return known
-	default:
-		return record{entry: e, lastWrite: e.ModRevision}
 	}
+	return record{entry: e, lastWrite: e.ModRevision}
 }
 
 // recordReplacement records the changes made by replacing all records. The
@@ -134,7 +141,7 @@
 	}
 	m.recordGap(revision)
 	for key, r := range next {
-		if known, ok := m.records[key]; !ok || known.entry.ModRevision < r.entry.ModRevision {
+		if known, ok := m.records[key]; !ok || known.entry.ModRevision != r.entry.ModRevision {
 			m.recordChange(key, revision)
 		}
 	}
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -237,3 +237,29 @@
 		t.Error("not due early although the watch is unreliable")
 	}
 }
+
+// A record changes and changes back between two lists of a router, which therefore
+// sends no change of it. Another router that has seen the value in between must not
+// keep it when it gets a complete copy from a third.
+func TestRecordThatChangedBackReplacesValueInBetween(t *testing.T) {
+	store := newFakeStore()
+	store.write("k", 'a')
+	store.write("other", 'a')
+	first, second, third := New(sameMeaning), New(sameMeaning), New(sameMeaning)
+	first.Replace(store.list(), store.revision)
+	second.Replace(store.list(), store.revision)
+	store.write("k", 'b')
+	third.Replace(store.list(), store.revision)
+	store.write("k", 'a')
+	store.write("other", 'b')
+	first.Replace(store.list(), store.revision)
+	for _, step := range []struct{ from, to *Mirror }{{first, second}, {second, third}} {
+		d, ok := step.from.Since(step.to.Revision())
+		if !ok || !step.to.Merge(d) {
+			t.Fatalf("no update from revision %d", step.to.Revision())
+		}
+	}
+	if !store.matches(third) {
+		t.Errorf("the third copy has %+v at revision %d", third.Entries(), third.Revision())
+	}
+}
