Follow a store that returns from an older copy; heed engines that leave or want a pause

Change: - Revisions hold the store's era in their upper bits (kv.JoinRevision), so that all comparisons of revisions order by era first. The client of the store attributes each response to an era; watches and conditions of an earlier era don't hold. - Digests, requests and copies between routers name the era in fields of their own. If all instances of a service want a pause, calls are refused at once with the time left.

--- a/cmd/vt-edge/main.go
+++ b/cmd/vt-edge/main.go
@@ -65,8 +65,9 @@
 	}
 	registry := telemetry.NewRegistry()
 	log := decisionlog.New(os.Stdout, level, registry)
+	store := platform.NewStore(boot.StoreAddress, log, registry)
 	router, err := edge.New(edge.Options{
-		Settings: boot.Edge, Store: platform.NewStore(boot.StoreAddress), Provider: platform.NewRecordTranslator(boot.Edge.Name, boot.Regions),
+		Settings: boot.Edge, Store: store, StoreEra: store.Era, Provider: platform.NewRecordTranslator(boot.Edge.Name, boot.Regions),
 		Codec: platform.Codec{}, Inventory: platform.NewInventory(), Handlers: platform.Handlers,
 		Log: log, Registry: registry,
 	})
--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -109,4 +109,12 @@
 	EventStream bool
 	// Load is nil if the instance reported none.
 	Load *Load
+	// Leaving is set if the instance says that it leaves.
+	Leaving bool
+	// Pause is for how long the instance wants no more calls from this router, zero
+	// if it asked for no pause.
+	Pause time.Duration
+	// InvalidPause is what the instance sent in place of a valid pause, empty
+	// otherwise. Pause then holds the bound that applies, or zero.
+	InvalidPause string
 }
--- a/internal/dispatch/balancer.go
+++ b/internal/dispatch/balancer.go
@@ -24,8 +24,11 @@
 	// Location is where this router runs.
 	Location    locality.Location
 	RetryBudget retry.WindowSettings
-	Containment containment.Settings
-	Log         *decisionlog.Log
+	// LastResortPeriod is how long an instance that leaves may take calls that no
+	// other instance can take.
+	LastResortPeriod time.Duration
+	Containment      containment.Settings
+	Log              *decisionlog.Log
 	// OnStrike is called for each strike to send to the other routers. It must
 	// not block.
 	OnStrike func(*peerpb.Strike)
@@ -66,8 +69,10 @@
 	if o.OnDigestChange == nil {
 		o.OnDigestChange = func() {}
 	}
+	registry := instances.New()
+	registry.SetLastResortPeriod(o.LastResortPeriod)
 	return &Balancer{
-		options: o, registry: instances.New(), loads: loadshare.New(), prefixIndex: placement.NewPrefixIndex(),
+		options: o, registry: registry, loads: loadshare.New(), prefixIndex: placement.NewPrefixIndex(),
 		baselines: newLatencyBaselines(),
 		windows:   make(map[string]*retry.Window), containment: containment.New(o.Containment), routers: 1,
 		idByHash: make(map[uint32]string),
--- a/internal/dispatch/digest.go
+++ b/internal/dispatch/digest.go
@@ -10,12 +10,13 @@
 	"github.com/verbenatrail/verbenatrail/internal/peerpb"
 )
 
-// maxDigestLoads, maxDigestParts and maxDigestFaults keep a digest within one
-// datagram: an entry takes about 13, 16 and 9 bytes respectively.
+// maxDigestLoads, maxDigestParts, maxDigestFaults and maxDigestNotices keep a digest
+// within one datagram: an entry takes about 13, 16, 9 and 18 bytes respectively.
 const (
-	maxDigestLoads  = 44
-	maxDigestParts  = 18
-	maxDigestFaults = 14
+	maxDigestLoads   = 40
+	maxDigestParts   = 16
+	maxDigestFaults  = 12
+	maxDigestNotices = 6
 	// recentPartsTTL is how long a newly cached part is repeated in digests: for
 	// a few rounds, since datagrams may be lost.
 	recentPartsTTL = time.Second
@@ -36,6 +37,7 @@
 	defer b.mu.Unlock()
 	d.Loads, d.Held = b.digestLoads()
 	d.Faults = b.digestFaults()
+	d.Notices = b.digestNotices()
 }
 
 // faultScale is the number of digest units per fault: digests carry tenths.
--- a/internal/dispatch/feedback.go
+++ b/internal/dispatch/feedback.go
@@ -26,14 +26,19 @@
 	b.logChanges(changes)
 }
 
-// recordLoad records the load that an instance reports for itself.
-func (b *Balancer) recordLoad(p *pick, load *call.Load) {
-	if load == nil {
-		return
-	}
+// recordReply records what an instance says of itself in a response.
+func (b *Balancer) recordReply(p *pick, reply call.Reply) {
 	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.loads.UpdateInstance(b.options.Now(), p.instance.ID, load.Running+load.Waiting)
+	now := b.options.Now()
+	if reply.Load != nil {
+		b.loads.UpdateInstance(now, p.instance.ID, reply.Load.Running+reply.Load.Waiting)
+	}
+	changes := b.recordStatements(now, p.instance.ID, reply)
+	b.mu.Unlock()
+	b.logChanges(changes)
+	if len(changes) > 0 {
+		b.options.OnDigestChange()
+	}
 }
 
 // recordRequest adds a caller's call to the requests that the service's retry
--- a/internal/dispatch/metrics.go
+++ b/internal/dispatch/metrics.go
@@ -19,6 +19,8 @@
 	inFlight  metrics.Counter
 	firstByte metrics.Histogram
 	total     metrics.Histogram
+	// invalidPauses counts responses whose pause can't be decoded or is too long.
+	invalidPauses metrics.Counter
 }
 
 func newCallMetrics(registry metrics.Registry) *callMetrics {
@@ -31,6 +33,8 @@
 		inFlight:  metrics.GetOrRegisterCounter("calls.in_flight", registry),
 		firstByte: histogram("calls.first_byte.microseconds"),
 		total:     histogram("calls.whole.microseconds"),
+
+		invalidPauses: metrics.GetOrRegisterCounter("sends.invalid_pause", registry),
 	}
 }
 
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"sync"
 	"time"
@@ -199,11 +200,23 @@
 
 // noInstance ends a call for which there is no candidate instance.
 func (r *run) noInstance() {
+	if left, paused := r.dispatcher.options.Balancer.pauseLeft(r.service); paused && !r.stream.started && !r.mayHaveRun && r.failure == nil {
+		r.refuse(refusal.New(refusal.Overloaded, "the instances that could take the call want no calls for a while: send it again after the pause").
+			WithRetryAfter(left + rand.N(max(left/pauseSpread, minPauseSpread))))
+		return
+	}
 	r.end(attempt.FinalVerdict(attempt.Failure{
 		EarlierMayHaveRun: r.mayHaveRun, ResponseStarted: r.stream.started, TimeLeft: time.Until(r.deadline),
 	}), attemptResult{})
 }
 
+const (
+	// pauseSpread and minPauseSpread set the range over which callers return after
+	// the pause of an instance: a fraction of the pause, but at least this long.
+	pauseSpread    = 4
+	minPauseSpread = 200 * time.Millisecond
+)
+
 // end applies a verdict that ends the call.
 func (r *run) end(v attempt.Verdict, s attemptResult) {
 	if r.failure != nil && !r.stream.started {
--- a/internal/dispatch/send.go
+++ b/internal/dispatch/send.go
@@ -11,6 +11,7 @@
 
 	"github.com/verbenatrail/verbenatrail/internal/attempt"
 	"github.com/verbenatrail/verbenatrail/internal/call"
+	"github.com/verbenatrail/verbenatrail/internal/decisionlog"
 	"github.com/verbenatrail/verbenatrail/internal/instances"
 	"github.com/verbenatrail/verbenatrail/internal/routing"
 	"github.com/verbenatrail/verbenatrail/internal/telemetry"
@@ -133,6 +134,7 @@
 			return nil, err
 		}
 		e.reply = e.run.dispatcher.options.Codec.DecodeReply(response.StatusCode, response.Header)
+		e.recordReply()
 		if e.reply.CallID == "" || e.reply.CallID == e.run.call.ID {
 			return response, nil
 		}
@@ -143,10 +145,26 @@
 	return nil, errors.Wrap(upstream.ErrBroken, "too many late responses to other calls on the connection")
 }
 
+// recordReply records what the instance says of itself, in late responses, too. A
+// response of another instance at the same address says nothing about this one.
+func (e *exchange) recordReply() {
+	if e.reply.WrongInstance {
+		return
+	}
+	d := e.run.dispatcher
+	if e.reply.InvalidPause != "" {
+		d.metrics.invalidPauses.Inc(1)
+		d.options.Log.Decision("invalid pause of an instance", decisionlog.Fields{
+			"call": e.run.call.ID, "instance": e.pick.instance.ID, "value": e.reply.InvalidPause,
+			"applied_ms": e.reply.Pause.Milliseconds(),
+		})
+	}
+	d.options.Balancer.recordReply(e.pick, e.reply)
+}
+
 // forward classifies the response by its head and forwards it.
 func (e *exchange) forward(response *http.Response) attemptResult {
 	e.keepAlive = upstream.KeepAliveTimeout(response)
-	e.run.dispatcher.options.Balancer.recordLoad(e.pick, e.reply.Load)
 	switch {
 	case e.reply.NotRun:
 		return e.forwardNotRun(response)
--- a/internal/dispatch/state.go
+++ b/internal/dispatch/state.go
@@ -29,7 +29,9 @@
 	b.mu.Lock()
 	b.loads.UpdatePeer(b.options.Now(), name, loads)
 	b.applyFaults(name, d.GetFaults())
+	changes := b.applyNotices(d.GetNotices())
 	b.mu.Unlock()
+	b.logNotices(changes, name)
 	b.ApplyCachedParts(d.GetHeld())
 }
 
@@ -83,6 +85,14 @@
 	b.logChanges(changes)
 }
 
+// ListingRestarted records that the platform's listing has returned from an older
+// copy.
+func (b *Balancer) ListingRestarted() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.registry.ListingRestarted(b.options.Now())
+}
+
 // ListingUnavailable records that the platform's listing has not been confirmed
 // since the given time.
 func (b *Balancer) ListingUnavailable(since time.Time) {
--- a/internal/edge/config_test.go
+++ b/internal/edge/config_test.go
@@ -16,7 +16,6 @@
 	"github.com/verbenatrail/verbenatrail/internal/decisionlog"
 	"github.com/verbenatrail/verbenatrail/internal/kv"
 	"github.com/verbenatrail/verbenatrail/internal/mirror"
-	"github.com/verbenatrail/verbenatrail/internal/peerpb"
 	"github.com/verbenatrail/verbenatrail/internal/routing"
 )
 
@@ -111,8 +110,8 @@
 	case 1:
 		storeUpdate{update: mirror.Update{Events: []kv.Event{{Entry: e}}, Revision: e.ModRevision}}.apply(c, now)
 	default:
-		stateFetched{from: "other", response: &peerpb.StateResponse{
-			Revision: e.ModRevision, Entries: []*peerpb.StateEntry{{Key: e.Key, Value: e.Value, Revision: e.ModRevision}},
-		}}.apply(c, now)
+		stateFetched{from: "other", response: deltaToProto(mirror.Delta{
+			Full: true, Revision: e.ModRevision, Entries: []kv.Entry{e},
+		})}.apply(c, now)
 	}
 }
--- a/internal/edge/confirm.go
+++ b/internal/edge/confirm.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/verbenatrail/verbenatrail/internal/decisionlog"
+	"github.com/verbenatrail/verbenatrail/internal/kv"
 	"github.com/verbenatrail/verbenatrail/internal/mirror"
 	"github.com/verbenatrail/verbenatrail/internal/peering"
 )
@@ -81,7 +82,7 @@
 	c.follow.unconfirmed = true
 	c.edge.balancer.ListingUnavailable(now.Add(-age))
 	c.edge.options.Log.Lifecycle("records unconfirmed", decisionlog.Fields{
-		"revision": c.mirror.Revision(), "confirmed_age_ms": age.Milliseconds(),
+		"revision": kv.RawRevision(c.mirror.Revision()), "confirmed_age_ms": age.Milliseconds(),
 	})
 }
 
@@ -95,7 +96,7 @@
 	c.follow.unconfirmed = false
 	c.edge.balancer.ListingRestored()
 	c.edge.options.Log.Lifecycle("records confirmed again", decisionlog.Fields{
-		"revision": c.mirror.Revision(), "confirmed_age_ms": c.records.freshness.Age(now).Milliseconds(),
+		"revision": kv.RawRevision(c.mirror.Revision()), "confirmed_age_ms": c.records.freshness.Age(now).Milliseconds(),
 	})
 }
 
@@ -106,6 +107,10 @@
 	if c.mirror.Revision() == 0 || r.Router.ChangedRevision > c.mirror.Revision() || age >= unknownAge {
 		return
 	}
+	if kv.EraOf(r.Router.StateRevision) != kv.EraOf(c.mirror.Revision()) {
+		// The other copy was complete before the store was restored.
+		return
+	}
 	if c.mirror.Advance(r.Router.ChangedRevision, r.Router.StateRevision) {
 		c.revisionAdvanced(now)
 	}
--- a/internal/edge/control.go
+++ b/internal/edge/control.go
@@ -8,6 +8,7 @@
 
 	"github.com/verbenatrail/verbenatrail/internal/containment"
 	"github.com/verbenatrail/verbenatrail/internal/decisionlog"
+	"github.com/verbenatrail/verbenatrail/internal/kv"
 	"github.com/verbenatrail/verbenatrail/internal/mirror"
 	"github.com/verbenatrail/verbenatrail/internal/peering"
 	"github.com/verbenatrail/verbenatrail/internal/peerpb"
@@ -88,6 +89,7 @@
 	c.checkConfirmedAge(now)
 	c.send(now, c.members.Targets())
 	c.notifyFirstReaders(now)
+	c.checkStoreEra()
 	c.catchUp(now)
 	c.confirm(now)
 	c.scheduleInventory(now)
@@ -106,8 +108,9 @@
 	s := c.edge.options.Settings
 	d := &peerpb.Digest{
 		CallerAddress: s.CallerAddress, PeerAddress: s.PeerAddress, Region: s.Location.Region,
-		Accepting: c.edge.Ready(), Leaving: c.edge.leaving.Load(), StateRevision: c.mirror.Revision(),
-		ChangedRevision: c.mirror.ChangedRevision(),
+		Accepting: c.edge.Ready(), Leaving: c.edge.leaving.Load(),
+		Era: kv.EraOf(c.mirror.Revision()), StateRevision: kv.RawRevision(c.mirror.Revision()),
+		ChangedRevision: kv.RawRevision(c.mirror.ChangedRevision()),
 		ConfirmedAgeMs:  uint32(min(c.records.freshness.Age(now), unknownAge).Milliseconds()),
 		FollowsStore:    c.follow.healthy(),
 	}
@@ -140,7 +143,8 @@
 	for _, change := range changes {
 		c.edge.options.Log.Decision("router changed", decisionlog.Fields{
 			"router": change.Router.Name, "what": change.Kind, "incarnation": change.Router.Incarnation,
-			"silence_ms": change.Silence.Milliseconds(), "state_revision": change.Router.StateRevision, "changed_revision": change.Router.ChangedRevision,
+			"silence_ms": change.Silence.Milliseconds(), "era": kv.EraOf(change.Router.StateRevision),
+			"state_revision": kv.RawRevision(change.Router.StateRevision), "changed_revision": kv.RawRevision(change.Router.ChangedRevision),
 		})
 		if change.Kind == peering.WentSilent {
 			c.edge.balancer.ForgetPeer(change.Router.Name)
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -35,6 +35,9 @@
 	Inventory Inventory
 	// Handlers serves the readiness and directory addresses.
 	Handlers func(*Edge) (ready, directory http.Handler)
+	// StoreEra returns the highest era of the store that any response has named; nil
+	// for a store without eras.
+	StoreEra func() int64
 	Log      *decisionlog.Log
 	Registry metrics.Registry
 }
@@ -61,14 +64,21 @@
 	// resync makes the follower list all records again when other routers have later
 	// ones.
 	resync chan struct{}
+	// reregister makes the router write its record again.
+	reregister chan registrationLost
 }
 
+// lastResortDivisor sets the share of the drain period, a half, in which an instance
+// that leaves may take calls that no other instance can take. The rest is a margin
+// for calls that are already on their way.
+const lastResortDivisor = 2
+
 // commandBuffer is the number of commands that can wait for the control goroutine.
 const commandBuffer = 256
 
 // New assembles a router; Run starts it. Its error is peering.ErrPeerAddress.
 func New(o Options) (*Edge, error) {
-	e := &Edge{options: o, commands: make(chan command, commandBuffer), resync: make(chan struct{}, 1)}
+	e := &Edge{options: o, commands: make(chan command, commandBuffer), resync: make(chan struct{}, 1), reregister: make(chan registrationLost, 1)}
 	link, err := peering.Open(o.Settings.Name, o.Settings.PeerAddress, uint64(time.Now().UnixNano()), o.Registry)
 	if err != nil {
 		return nil, err
@@ -78,7 +88,8 @@
 	e.settings.Store(&settings)
 	e.balancer = dispatch.NewBalancer(dispatch.BalancerOptions{
 		Location: o.Settings.Location, RetryBudget: o.Settings.RetryBudget, Containment: containment.DefaultSettings(),
-		Log: o.Log, OnStrike: func(s *peerpb.Strike) { e.post(strikeDetected{strike: s}) },
+		LastResortPeriod: o.Settings.DrainPeriod / lastResortDivisor,
+		Log:              o.Log, OnStrike: func(s *peerpb.Strike) { e.post(strikeDetected{strike: s}) },
 		OnDigestChange: e.scheduleDigest,
 	})
 	e.pool = upstream.NewPool(o.Registry)
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/verbenatrail/verbenatrail/internal/decisionlog"
+	"github.com/verbenatrail/verbenatrail/internal/kv"
 	"github.com/verbenatrail/verbenatrail/internal/mirror"
 )
 
@@ -41,7 +42,7 @@
 // decideFollow starts or stops following the store, depending on how many other
 // routers follow it.
 func (c *control) decideFollow(now time.Time) {
-	others, before := c.members.Followers()
+	others, before := c.members.Followers(kv.EraOf(c.mirror.Revision()))
 	f := &c.follow
 	switch {
 	case f.stop == nil && others < wantedFollowers && c.mayReadStore(now):
@@ -61,7 +62,7 @@
 func (c *control) startFollowing(others int) {
 	ctx, cancel := context.WithCancel(c.ctx)
 	c.follow.stop, c.follow.connected = cancel, false
-	c.edge.options.Log.Decision("store follower started", decisionlog.Fields{"others": others, "revision": c.mirror.Revision()})
+	c.edge.options.Log.Decision("store follower started", decisionlog.Fields{"others": others, "revision": kv.RawRevision(c.mirror.Revision())})
 	follower := &mirror.Follower{
 		Store:   c.edge.options.Store,
 		Deliver: func(u mirror.Update) { c.edge.deliver(ctx, storeUpdate{update: u}) },
@@ -73,7 +74,7 @@
 	c.follow.stop()
 	c.follow = followState{unconfirmed: c.follow.unconfirmed}
 	c.edge.outage.Store(false)
-	c.edge.options.Log.Decision("redundant store follower stopped", decisionlog.Fields{"others": others, "revision": c.mirror.Revision()})
+	c.edge.options.Log.Decision("redundant store follower stopped", decisionlog.Fields{"others": others, "revision": kv.RawRevision(c.mirror.Revision())})
 }
 
 // storeUnavailable handles a failed call to the store.
@@ -88,7 +89,7 @@
 	}
 	f.connected, f.lost = false, true
 	c.edge.outage.Store(true)
-	c.edge.options.Log.Failure("store unavailable", err, decisionlog.Fields{"revision": c.mirror.Revision()})
+	c.edge.options.Log.Failure("store unavailable", err, decisionlog.Fields{"revision": kv.RawRevision(c.mirror.Revision())})
 	// Lets another router take over.
 	c.send(now, c.members.Targets())
 }
@@ -100,7 +101,7 @@
 		return
 	}
 	if f.lost {
-		c.edge.options.Log.Lifecycle("store available again", decisionlog.Fields{"revision": c.mirror.Revision()})
+		c.edge.options.Log.Lifecycle("store available again", decisionlog.Fields{"revision": kv.RawRevision(c.mirror.Revision())})
 	}
 	f.connected, f.lost = true, false
 	c.edge.outage.Store(false)
@@ -114,7 +115,7 @@
 	}
 	c.records.freshness.MarkWatchUnreliable(now)
 	c.edge.options.Log.Decision("store watch behind, listing records again", decisionlog.Fields{
-		"revision": c.mirror.Revision(), "known": c.requiredRevision(), "behind_ms": now.Sub(c.records.behindSince).Milliseconds(),
+		"revision": kv.RawRevision(c.mirror.Revision()), "known": kv.RawRevision(c.requiredRevision()), "behind_ms": now.Sub(c.records.behindSince).Milliseconds(),
 	})
 	select {
 	case c.edge.resync <- struct{}{}:
--- a/internal/edge/inventory.go
+++ b/internal/edge/inventory.go
@@ -8,6 +8,7 @@
 	"github.com/verbenatrail/verbenatrail/internal/decisionlog"
 	"github.com/verbenatrail/verbenatrail/internal/instances"
 	"github.com/verbenatrail/verbenatrail/internal/loadshare"
+	"github.com/verbenatrail/verbenatrail/internal/mirror"
 	"github.com/verbenatrail/verbenatrail/internal/peering"
 	"github.com/verbenatrail/verbenatrail/internal/peerpb"
 	"github.com/verbenatrail/verbenatrail/internal/placement"
@@ -19,10 +20,17 @@
 	Part  string
 }
 
+// CacheList is an instance's response to a query of its prefix cache.
+type CacheList struct {
+	Parts []CachedPart
+	// Leaving is set if the instance says that it leaves, also with an error.
+	Leaving bool
+}
+
 // Inventory lists the contents of instances' prefix caches.
 type Inventory interface {
 	// CachedParts returns the prompt parts cached by the instance at an address.
-	CachedParts(ctx context.Context, address string) ([]CachedPart, error)
+	CachedParts(ctx context.Context, address string) (CacheList, error)
 }
 
 const (
@@ -59,7 +67,9 @@
 		return
 	}
 	c.inventory.fetching = true
-	go c.edge.fetch(from, &peerpb.StateRequest{HaveRevision: c.mirror.Revision(), WithHeld: true})
+	request := c.stateRequest()
+	request.WithHeld = true
+	go c.edge.fetch(from, request)
 }
 
 // applyCachedParts applies another router's list of the cached parts of all
@@ -124,8 +134,11 @@
 	ctx, cancel := context.WithTimeout(context.Background(), inventoryTimeout)
 	defer cancel()
 	cached, err := e.options.Inventory.CachedParts(ctx, i.Address)
-	parts := make([]uint64, 0, len(cached))
-	for _, p := range cached {
+	if cached.Leaving {
+		e.balancer.RecordLeaving(i.ID)
+	}
+	parts := make([]uint64, 0, len(cached.Parts))
+	for _, p := range cached.Parts {
 		parts = append(parts, placement.PartHash(p.Model, p.Part))
 	}
 	e.post(inventoryResult{instance: i, parts: parts, err: err})
@@ -140,7 +153,7 @@
 	c.edge.balancer.RecordCachedParts(r.instance.ID, r.parts)
 	peers := c.members.PeerAddresses()
 	for chunk := range slices.Chunk(r.parts, cachedPartsPerDatagram) {
-		state := &peerpb.StateResponse{Revision: c.mirror.Revision(), FromRevision: c.mirror.Revision()}
+		state := deltaToProto(mirror.Delta{Revision: c.mirror.Revision(), FromRevision: c.mirror.Revision()})
 		for _, part := range chunk {
 			state.Held = append(state.Held, &peerpb.HeldPart{Instance: loadshare.Hash(r.instance.ID), Part: part})
 		}
--- a/internal/edge/metricspage_test.go
+++ b/internal/edge/metricspage_test.go
@@ -37,8 +37,9 @@
 		delete(described, name)
 	})
 	for name := range described {
-		// Counters by result or kind are registered at their first event.
-		if !strings.HasSuffix(name, ".*") && name != "edge.commands.dropped" {
+		// Counters by result or kind are registered at their first event, and
+		// store.era.invalid by the platform's client, whose tests check it.
+		if !strings.HasSuffix(name, ".*") && name != "edge.commands.dropped" && name != "store.era.invalid" {
 			t.Errorf("%s is listed in the page but doesn't exist", name)
 		}
 	}
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -54,8 +54,10 @@
 	if len(r.State.GetHeld()) > 0 {
 		c.edge.balancer.ApplyCachedParts(r.State.GetHeld())
 	}
-	c.members.Advance(r.Router.Name, r.State.GetChangedRevision(), r.State.GetRevision())
-	if c.mirror.Merge(deltaFromProto(r.State)) {
+	delta, had := deltaFromProto(r.State), c.mirror.Revision()
+	c.members.Advance(r.Router.Name, delta.ChangedRevision, delta.Revision)
+	if c.mirror.Merge(delta) {
+		c.handleEraChange(had, r.Router.Name)
 		c.revisionAdvanced(now)
 		c.clearUnconfirmed(now)
 		c.publish(now)
@@ -65,21 +67,28 @@
 
 func deltaFromProto(s *peerpb.StateResponse) mirror.Delta {
 	d := mirror.Delta{
-		Full: s.GetFromRevision() == 0, FromRevision: s.GetFromRevision(), Revision: s.GetRevision(), Removed: s.GetRemoved(),
-		ChangedRevision: s.GetChangedRevision(), Complete: s.GetComplete(),
+		Full: s.GetFromRevision() == 0, FromRevision: kv.JoinRevision(s.GetFromEra(), s.GetFromRevision()),
+		Revision: kv.JoinRevision(s.GetEra(), s.GetRevision()), Removed: s.GetRemoved(),
+		ChangedRevision: kv.JoinRevision(s.GetEra(), s.GetChangedRevision()), Complete: s.GetComplete(),
 	}
 	for _, e := range s.GetEntries() {
-		d.Entries = append(d.Entries, kv.Entry{Key: e.GetKey(), Value: e.GetValue(), ModRevision: e.GetRevision()})
+		d.Entries = append(d.Entries, kv.Entry{Key: e.GetKey(), Value: e.GetValue(), ModRevision: kv.JoinRevision(e.GetEra(), e.GetRevision())})
 	}
 	return d
 }
 
+// deltaToProto returns the message for a delta. Revision and ChangedRevision are of
+// one era: after a change of the era, a copy is read anew as a whole.
 func deltaToProto(d mirror.Delta) *peerpb.StateResponse {
 	s := &peerpb.StateResponse{
-		Revision: d.Revision, FromRevision: d.FromRevision, Removed: d.Removed, ChangedRevision: d.ChangedRevision, Complete: d.Complete,
+		Revision: kv.RawRevision(d.Revision), FromRevision: kv.RawRevision(d.FromRevision), Removed: d.Removed,
+		ChangedRevision: kv.RawRevision(d.ChangedRevision), Complete: d.Complete,
+		Era: kv.EraOf(d.Revision), FromEra: kv.EraOf(d.FromRevision),
 	}
 	for _, e := range d.Entries {
-		s.Entries = append(s.Entries, &peerpb.StateEntry{Key: e.Key, Value: e.Value, Revision: e.ModRevision})
+		s.Entries = append(s.Entries, &peerpb.StateEntry{
+			Key: e.Key, Value: e.Value, Revision: kv.RawRevision(e.ModRevision), Era: kv.EraOf(e.ModRevision),
+		})
 	}
 	return s
 }
@@ -92,7 +101,8 @@
 
 func (s stateRequested) apply(c *control, _ time.Time) {
 	response := &peerpb.StateResponse{}
-	if delta, ok := c.mirror.Since(s.request.GetHaveRevision()); ok {
+	have := kv.JoinRevision(s.request.GetHaveEra(), s.request.GetHaveRevision())
+	if delta, ok := c.mirror.Since(have); ok {
 		response = deltaToProto(delta)
 	}
 	if s.request.GetWithHeld() {
--- a/internal/edge/provider.go
+++ b/internal/edge/provider.go
@@ -64,6 +64,8 @@
 	FirstStart bool
 	// GracePeriod is the time from the stop signal until the process is killed.
 	GracePeriod time.Duration
+	// DrainPeriod is how long an instance that leaves still serves calls.
+	DrainPeriod time.Duration
 	// AddressLifetime is how long callers may cache a response of the directory.
 	AddressLifetime time.Duration
 	// RetryBudget bounds the retries that the whole fleet sends to one service.
--- a/internal/edge/records.go
+++ b/internal/edge/records.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/verbenatrail/verbenatrail/internal/decisionlog"
+	"github.com/verbenatrail/verbenatrail/internal/kv"
 	"github.com/verbenatrail/verbenatrail/internal/mirror"
 	"github.com/verbenatrail/verbenatrail/internal/peering"
 	"github.com/verbenatrail/verbenatrail/internal/peerpb"
@@ -35,6 +36,8 @@
 	freshness mirror.Freshness
 	// store is the last revision that the store reported.
 	store storeRevision
+	// storeEra is the highest era that any response of the store has named.
+	storeEra int64
 	// fetching is set while a fetch is in progress; nextFetch is the earliest time of
 	// the next one.
 	fetching  bool
@@ -64,7 +67,7 @@
 		return
 	}
 	c.storeRestored()
-	before := c.mirror.ChangedRevision()
+	before, had := c.mirror.ChangedRevision(), c.mirror.Revision()
 	changed := false
 	if u.Full {
 		c.confirmed(now, now)
@@ -72,6 +75,7 @@
 	} else {
 		changed = c.mirror.Apply(u.Events, u.Revision)
 	}
+	c.handleEraChange(had, storeSource)
 	c.revisionAdvanced(now)
 	if changed {
 		c.clearUnconfirmed(now)
@@ -125,7 +129,7 @@
 
 // requiredRevision is the latest revision that the copy has to be complete up to.
 func (c *control) requiredRevision() int64 {
-	return max(c.records.store.revision, c.members.NewestChange())
+	return max(c.storeRequirement(), c.members.NewestChange())
 }
 
 // catchUpDelay is how long the copy may be behind without progress before missing
@@ -153,9 +157,9 @@
 	switch {
 	case c.follow.stop != nil:
 		c.resyncWatch(now)
-	case r.store.revision > c.mirror.Revision():
+	case c.storeRequirement() > c.mirror.Revision():
 		// The routers that claim to follow the store have not pushed its changes.
-		others, _ := c.members.Followers()
+		others, _ := c.members.Followers(kv.EraOf(c.mirror.Revision()))
 		c.startFollowing(others)
 	}
 	source, ok := c.members.Source(c.mirror.Revision(), r.failedSources)
@@ -164,7 +168,13 @@
 		return
 	}
 	r.fetching = true
-	go c.edge.fetch(source, &peerpb.StateRequest{HaveRevision: c.mirror.Revision()})
+	go c.edge.fetch(source, c.stateRequest())
+}
+
+// stateRequest returns the request for the changes that the copy lacks.
+func (c *control) stateRequest() *peerpb.StateRequest {
+	have := c.mirror.Revision()
+	return &peerpb.StateRequest{HaveRevision: kv.RawRevision(have), HaveEra: kv.EraOf(have)}
 }
 
 // fetch requests the changes that the copy lacks from another router.
@@ -197,10 +207,12 @@
 	if !c.mirror.Merge(delta) {
 		return
 	}
+	c.handleEraChange(had, s.from)
 	c.revisionAdvanced(now)
 	c.clearUnconfirmed(now)
 	log.Decision("records fetched", decisionlog.Fields{
-		"router": s.from, "revision": delta.Revision, "had": had, "full": delta.Full,
+		"router": s.from, "era": kv.EraOf(delta.Revision), "revision": kv.RawRevision(delta.Revision),
+		"had": kv.RawRevision(had), "full": delta.Full,
 		"entries": len(delta.Entries), "removed": len(delta.Removed),
 	})
 	c.publish(now)
@@ -232,7 +244,7 @@
 	}
 	c.edge.table.Store(table)
 	c.edge.options.Log.Decision("configuration in force", decisionlog.Fields{
-		"config": table.Revision, "records_revision": c.mirror.Revision(), "follows_store": c.follow.healthy(),
+		"config": table.Revision, "records_revision": kv.RawRevision(c.mirror.Revision()), "follows_store": c.follow.healthy(),
 		"confirmed_age_ms": c.records.freshness.Age(now).Milliseconds(),
 	})
 }
--- a/internal/edge/register.go
+++ b/internal/edge/register.go
@@ -41,9 +41,34 @@
 			failing = err != nil
 			e.logRegistration(err, lease)
 		}
-		if pause.For(ctx, wait) != nil {
+		lost, err := e.waitForRenewal(ctx, wait)
+		if err != nil {
 			return nil
 		}
+		if lost {
+			lease = 0
+		}
+	}
+}
+
+// registrationLost tells that the store has lost this router's record and lease.
+type registrationLost struct {
+	// delay is when to write the record again, so that a fleet doesn't write at once.
+	delay time.Duration
+}
+
+// waitForRenewal waits until the record has to be renewed or, if lost is true, to be
+// written again. Its error is that of the context.
+func (e *Edge) waitForRenewal(ctx context.Context, wait time.Duration) (lost bool, err error) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return false, nil
+	case l := <-e.reregister:
+		return true, pause.For(ctx, l.delay)
+	case <-ctx.Done():
+		return false, ctx.Err()
 	}
 }
 
--- a/internal/instances/instances.go
+++ b/internal/instances/instances.go
@@ -36,6 +36,10 @@
 	// it is far above that of the other instances of the service.
 	faults  float64
 	outlier bool
+	// pausedUntil is the end of the pause that the instance has asked this router
+	// for, avoidUntil that of one that it has asked other routers for.
+	pausedUntil time.Time
+	avoidUntil  time.Time
 }
 
 // Registry holds the instances that one router knows. It isn't safe for
@@ -46,14 +50,25 @@
 	unavailableSince   time.Time
 	// outageEnd is the end of the last outage that lasted at least minOutage.
 	outageEnd time.Time
-	services  map[string][]*entry
+	// restartedAt is when the listing last returned from an older copy.
+	restartedAt time.Time
+	services    map[string][]*entry
+	// departures are the instances that have said that they leave, by ID. They
+	// outlast the entries, which may be missing for a while.
+	departures map[string]departure
+	// lastResortPeriod is how long an instance that leaves may take work that no
+	// other one can take.
+	lastResortPeriod time.Duration
 	// peerFaults holds the last report of each other router.
 	peerFaults map[string]peerReport
 }
 
 // New returns an empty Registry.
 func New() *Registry {
-	return &Registry{entries: make(map[string]*entry), services: make(map[string][]*entry), peerFaults: make(map[string]peerReport)}
+	return &Registry{
+		entries: make(map[string]*entry), services: make(map[string][]*entry), departures: make(map[string]departure),
+		peerFaults: make(map[string]peerReport),
+	}
 }
 
 // ListingUnavailable records that the listing has not been confirmed since the
@@ -72,6 +87,27 @@
 	r.listingUnavailable = false
 }
 
+// ListingRestarted records that the listing has returned from an older copy, which
+// lacks what instances have written since. Entries that are missing stay in use for
+// the grace period, in which the instances write them again.
+func (r *Registry) ListingRestarted(now time.Time) {
+	r.restartedAt, r.outageEnd = now, now
+	for _, e := range r.entries {
+		if e.missing {
+			e.removeAt = now.Add(missingGrace)
+		}
+	}
+}
+
+// takesBack reports whether a listed entry is older than the known one: the listing
+// has returned from an older copy, and the instance has not written it again.
+func (r *Registry) takesBack(now time.Time, known, i Instance) bool {
+	if r.restartedAt.IsZero() || now.Sub(r.restartedAt) >= postOutageWindow {
+		return false
+	}
+	return i.StartedAt.Before(known.StartedAt) || i.StartedAt.Equal(known.StartedAt) && known.Draining && !i.Draining
+}
+
 // Replace sets the complete listing and returns the state changes.
 func (r *Registry) Replace(now time.Time, listed []Instance) []Change {
 	var changes []Change
@@ -100,6 +136,9 @@
 
 func (r *Registry) upsert(now time.Time, i Instance) []Change {
 	e, ok := r.entries[i.ID]
+	if ok && r.takesBack(now, e.instance, i) {
+		return nil
+	}
 	reason := "listing"
 	if !ok || !e.instance.StartedAt.Equal(i.StartedAt) || e.instance.Address != i.Address {
 		e = &entry{reported: Gone}
@@ -107,7 +146,7 @@
 		reason = ReasonStarted
 	}
 	e.instance, e.missing, e.removed = i, false, false
-	return e.report(now, reason)
+	return r.report(now, e, reason)
 }
 
 // remove takes an entry that is no longer listed out of use. During an outage of
@@ -138,6 +177,7 @@
 func (r *Registry) Tick(now time.Time) []Change {
 	var changes []Change
 	r.findOutliers(now)
+	r.forgetDepartures(now)
 	for _, id := range r.ids() {
 		e := r.entries[id]
 		if e.missing {
@@ -145,10 +185,13 @@
 			continue
 		}
 		reason := "health"
-		if e.outlier {
+		switch {
+		case e.reported == Paused:
+			reason = "the pause that it asked for is over"
+		case e.outlier:
 			reason = "fails more than others of its service"
 		}
-		changes = append(changes, e.report(now, reason)...)
+		changes = append(changes, r.report(now, e, reason)...)
 	}
 	if len(changes) > 0 {
 		r.index()
@@ -166,7 +209,7 @@
 func (r *Registry) drop(now time.Time, e *entry, reason string) []Change {
 	delete(r.entries, e.instance.ID)
 	e.removed = true
-	return e.report(now, reason)
+	return r.report(now, e, reason)
 }
 
 // index groups the entries by service, in ID order.
@@ -186,34 +229,45 @@
 		return nil
 	}
 	e.health.observe(now, result, slowness)
-	return e.report(now, result.String())
+	return r.report(now, e, result.String())
 }
 
 // Candidates returns the instances of a service that may take work, in ID order
 // and without the excluded ones. Suspect instances are returned only if there is
-// no better one.
+// no better one, and those that have just said that they leave only if there is no
+// other at all.
 func (r *Registry) Candidates(now time.Time, service string, excluded []string) []Candidate {
-	var all []Candidate
+	var all, departing []Candidate
 	best := Gone
 	for _, e := range r.services[service] {
-		state := e.state(now)
-		if state >= Draining || slices.Contains(excluded, e.instance.ID) {
+		state := r.state(now, e)
+		if slices.Contains(excluded, e.instance.ID) {
+			continue
+		}
+		if state >= Paused {
+			if r.lastResort(now, e) {
+				departing = append(departing, Candidate{Instance: e.instance, State: state})
+			}
 			continue
 		}
 		best = min(best, state)
 		all = append(all, Candidate{Instance: e.instance, State: state})
 	}
-	if best >= Suspect {
+	switch {
+	case len(all) == 0:
+		return departing
+	case best >= Suspect:
 		return all
+	default:
+		return slices.DeleteFunc(all, func(c Candidate) bool { return c.State >= Suspect })
 	}
-	return slices.DeleteFunc(all, func(c Candidate) bool { return c.State >= Suspect })
 }
 
 // Draining returns the draining instances of a service in ID order.
 func (r *Registry) Draining(now time.Time, service string) []Instance {
 	var out []Instance
 	for _, e := range r.services[service] {
-		if e.state(now) == Draining {
+		if r.state(now, e) == Draining {
 			out = append(out, e.instance)
 		}
 	}
@@ -223,19 +277,23 @@
 // AnyUsable reports whether any instance of any service may take work.
 func (r *Registry) AnyUsable(now time.Time) bool {
 	for _, e := range r.entries {
-		if e.state(now) < Draining {
+		if r.state(now, e) < Draining {
 			return true
 		}
 	}
 	return false
 }
 
-func (e *entry) state(now time.Time) State {
+func (r *Registry) state(now time.Time, e *entry) State {
 	switch {
 	case e.removed || e.health.replaced:
 		return Gone
-	case e.instance.Draining:
+	case e.instance.Draining || r.departing(e.instance):
 		return Draining
+	case now.Before(e.pausedUntil):
+		return Paused
+	case now.Before(e.avoidUntil):
+		return max(e.health.state(now), Suspect)
 	case e.outlier:
 		return max(e.health.state(now), Degraded)
 	default:
@@ -244,8 +302,8 @@
 }
 
 // report returns the state change since the last report, if there is one.
-func (e *entry) report(now time.Time, reason string) []Change {
-	state := e.state(now)
+func (r *Registry) report(now time.Time, e *entry, reason string) []Change {
+	state := r.state(now, e)
 	if state == e.reported {
 		return nil
 	}
--- a/internal/instances/instances_test.go
+++ b/internal/instances/instances_test.go
@@ -23,7 +23,7 @@
 
 func stateOf(r *Registry, now time.Time, id string) State {
 	if e, ok := r.entries[id]; ok {
-		return e.state(now)
+		return r.state(now, e)
 	}
 	return Gone
 }
--- a/internal/instances/types.go
+++ b/internal/instances/types.go
@@ -36,7 +36,10 @@
 	// Suspect instances were unreachable or silent recently. They are used only if
 	// there is no other.
 	Suspect
-	// Draining instances finish their work and take no new work.
+	// Paused instances have asked this router to send nothing for a while.
+	Paused
+	// Draining instances finish their work and take no new work: they are listed so,
+	// or have said that they leave.
 	Draining
 	// Gone instances are no longer listed, or their address was reused.
 	Gone
@@ -44,7 +47,7 @@
 
 // String returns the name of the state in logs.
 func (s State) String() string {
-	return [...]string{"healthy", "degraded", "suspect", "draining", "gone"}[s]
+	return [...]string{"healthy", "degraded", "suspect", "paused", "draining", "gone"}[s]
 }
 
 // Result is the outcome of one use of an instance.
--- a/internal/kv/kv.go
+++ b/internal/kv/kv.go
@@ -27,12 +27,16 @@
 	ErrLeaseExpired = errors.New("lease expired: grant a new one")
 	// ErrCompacted means that a watch asked for events that have been compacted.
 	ErrCompacted = errors.New("watch revision compacted: list the prefix and watch from the returned revision")
+	// ErrRestored means that the service was restored from an older copy during the
+	// call, so that its result or condition is about a state that is gone.
+	ErrRestored = errors.New("key-value service was restored from an older copy during the call: read the keys again")
 )
 
 // LeaseID identifies a lease; zero means no lease.
 type LeaseID int64
 
-// Entry is one key with its value. The revisions are assigned by the service.
+// Entry is one key with its value. The revisions are assigned by the service; see
+// JoinRevision for services that return from older copies.
 type Entry struct {
 	Key            string
 	Value          []byte
--- a/internal/mirror/follower.go
+++ b/internal/mirror/follower.go
@@ -52,7 +52,11 @@
 	listed := false
 	for ctx.Err() == nil {
 		if !listed {
-			if err := f.list(ctx); err != nil {
+			err := f.list(ctx)
+			if errors.Is(err, kv.ErrRestored) {
+				continue
+			}
+			if err != nil {
 				failures++
 				f.reportAndWait(ctx, err, failures)
 				continue
--- a/internal/peering/link.go
+++ b/internal/peering/link.go
@@ -4,11 +4,13 @@
 	"context"
 	"net"
 	"net/netip"
+	"slices"
 
 	"github.com/pkg/errors"
 	"github.com/rcrowley/go-metrics"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/verbenatrail/verbenatrail/internal/kv"
 	"github.com/verbenatrail/verbenatrail/internal/peer"
 	"github.com/verbenatrail/verbenatrail/internal/peerpb"
 )
@@ -143,23 +145,35 @@
 		return Received{}, false
 	}
 	if state := d.GetState(); state != nil {
+		if !validEras(state) {
+			return Received{}, false
+		}
 		return Received{Router: Router{Name: d.GetFrom(), Incarnation: d.GetIncarnation()}, State: state}, true
 	}
 	if d.GetDigest() == nil {
 		return Received{}, false
 	}
 	digest := d.GetDigest()
-	if _, err := netip.ParseAddrPort(digest.GetPeerAddress()); err != nil {
+	if _, err := netip.ParseAddrPort(digest.GetPeerAddress()); err != nil || !validEra(digest.GetEra()) {
 		return Received{}, false
 	}
 	return Received{
 		Router: Router{
 			Name: d.GetFrom(), Incarnation: d.GetIncarnation(), CallerAddress: digest.GetCallerAddress(),
 			PeerAddress: digest.GetPeerAddress(), Region: digest.GetRegion(),
-			Accepting: digest.GetAccepting(), Leaving: digest.GetLeaving(), StateRevision: digest.GetStateRevision(),
-			ChangedRevision: digest.GetChangedRevision(), FetchNow: digest.GetFetchNow(),
+			Accepting: digest.GetAccepting(), Leaving: digest.GetLeaving(),
+			StateRevision:   kv.JoinRevision(digest.GetEra(), digest.GetStateRevision()),
+			ChangedRevision: kv.JoinRevision(digest.GetEra(), digest.GetChangedRevision()), FetchNow: digest.GetFetchNow(),
 			FollowsStore: digest.GetFollowsStore(),
 		},
 		Digest: digest, Strikes: d.GetStrikes(),
 	}, true
 }
+
+func validEras(s *peerpb.StateResponse) bool {
+	return validEra(s.GetEra()) && validEra(s.GetFromEra()) &&
+		!slices.ContainsFunc(s.GetEntries(), func(e *peerpb.StateEntry) bool { return !validEra(e.GetEra()) })
+}
+
+// validEra reports whether a revision can hold an era.
+func validEra(era int64) bool { return era >= 0 && era <= kv.MaxEra }
--- a/internal/peering/memberlist_test.go
+++ b/internal/peering/memberlist_test.go
@@ -222,7 +222,7 @@
 			other.FollowsStore = true
 			l.RecordDigest(start, other)
 		}
-		all, before := l.Followers()
+		all, before := l.Followers(0)
 		if all != 4 {
 			t.Errorf("router %d sees %d followers", i, all)
 		}
@@ -238,7 +238,7 @@
 	other := router(1)
 	other.FollowsStore, other.Leaving = true, true
 	l.RecordDigest(start, other)
-	if all, _ := l.Followers(); all != 0 {
+	if all, _ := l.Followers(0); all != 0 {
 		t.Error("a leaving router counts as a follower")
 	}
 }
--- a/internal/peering/sources.go
+++ b/internal/peering/sources.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 
+	"github.com/verbenatrail/verbenatrail/internal/kv"
 	"github.com/verbenatrail/verbenatrail/internal/placement"
 )
 
@@ -15,11 +16,13 @@
 }
 
 // Followers returns the number of live routers that follow the store, and how
-// many of them have precedence over this router, by the hash of their names.
-func (l *MemberList) Followers() (all, before int) {
+// many of them have precedence over this router, by the hash of their names. Those
+// whose copy is of an earlier era than era don't count: they lack what the store
+// contains now, or don't know of eras.
+func (l *MemberList) Followers(era int64) (all, before int) {
 	own := placement.Key(l.self)
 	for _, router := range l.Live() {
-		if !router.FollowsStore || router.Leaving {
+		if !router.FollowsStore || router.Leaving || kv.EraOf(router.StateRevision) < era {
 			continue
 		}
 		all++
--- a/internal/peering/state.go
+++ b/internal/peering/state.go
@@ -51,7 +51,11 @@
 	if response.GetBusy() {
 		return nil, ErrBusy
 	}
-	return decompress(response)
+	response, err = decompress(response)
+	if err == nil && !validEras(response) {
+		return nil, errors.New("state response of a router has an invalid era: update or restart that router")
+	}
+	return response, err
 }
 
 // CloseIdle closes connections that were not used recently.
