Admission of plain calls by objective and fair share

Cause: on the users' platform each call was placed at once.

Change: internal/overload decides for each plain call, from the load of the instance that placement chose, the measured time of a call, its objective and its workspace's share: placed, or rejected at once with a time to return within the objective. The fixed pause of 250 ms is left for unreachable instances.

--- a/internal/dispatch/balancer.go
+++ b/internal/dispatch/balancer.go
@@ -14,6 +14,7 @@
 	"github.com/verbenatrail/verbenatrail/internal/instances"
 	"github.com/verbenatrail/verbenatrail/internal/loadshare"
 	"github.com/verbenatrail/verbenatrail/internal/locality"
+	"github.com/verbenatrail/verbenatrail/internal/overload"
 	"github.com/verbenatrail/verbenatrail/internal/peerpb"
 	"github.com/verbenatrail/verbenatrail/internal/placement"
 	"github.com/verbenatrail/verbenatrail/internal/retry"
@@ -51,6 +52,7 @@
 	baselines   *latencyBaselines
 	windows     map[string]*retry.Window
 	containment *containment.Containment
+	overload    map[string]*overload.Service
 	routers     int
 	// idByHash maps the hashes of listed instances to their IDs.
 	idByHash map[uint32]string
@@ -75,7 +77,7 @@
 		options: o, registry: registry, loads: loadshare.New(), prefixIndex: placement.NewPrefixIndex(),
 		baselines: newLatencyBaselines(),
 		windows:   make(map[string]*retry.Window), containment: containment.New(o.Containment), routers: 1,
-		idByHash: make(map[uint32]string),
+		idByHash: make(map[uint32]string), overload: make(map[string]*overload.Service),
 	}
 }
 
@@ -94,32 +96,51 @@
 	prefilled bool
 	load      int
 	mean      float64
+	// loadAtReply is the number of calls at the instance when it replied, as it reported
+	// itself; before, and without a report, it is the estimate at the choice.
+	loadAtReply int
 	// candidates is the number of instances that were considered.
 	candidates int
 	// oldestLoadAge is the age of the oldest peer report in the load estimates.
 	oldestLoadAge time.Duration
 }
 
-// choose picks an instance and adds the call to its load. It returns false if no
-// instance can take the call. The caller must call done after the attempt.
-func (b *Balancer) choose(c *call.Call, service string, excluded []string) (*pick, bool) {
+// target is what a call is to be placed at.
+type target struct {
+	service   string
+	workspace string
+	// objective is the latency within which the caller wants the answer, zero if none
+	// is known.
+	objective time.Duration
+	// timeLeft is the time that the caller waited at most when the call arrived.
+	timeLeft time.Duration
+}
+
+// choose picks an instance and adds the call to its load. It returns nil if no
+// instance can take the call, and the decision that rejects it if the service is
+// short of places. The caller must call done after the attempt.
+func (b *Balancer) choose(c *call.Call, t target, excluded []string) (*pick, *overload.Decision) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.options.Now()
-	candidates := b.registry.Candidates(now, service, excluded)
+	candidates := b.registry.Candidates(now, t.service, excluded)
 	if len(candidates) == 0 {
-		return nil, false
+		return nil, nil
 	}
 	var p *pick
 	if len(c.Prompt.Parts) > 0 {
-		p = b.chooseByPrompt(now, c, service, candidates)
+		p = b.chooseByPrompt(now, c, t.service, candidates)
 	} else {
 		p = b.chooseByLoad(now, c, candidates)
+		if d := b.decideOverload(now, c, t, p); !d.Admitted {
+			return nil, &d
+		}
 	}
+	p.loadAtReply = p.load
 	p.candidates, p.oldestLoadAge = len(candidates), b.loads.OldestPeerAge(now)
 	b.loads.Begin(p.instance.ID, p.prefillTokens)
 	b.recordExpectedParts(now, p)
-	return p, true
+	return p, nil
 }
 
 // recordExpectedParts records that an instance is about to cache a prompt's
--- a/internal/dispatch/feedback.go
+++ b/internal/dispatch/feedback.go
@@ -20,6 +20,9 @@
 	slowness := 0.0
 	if took > 0 {
 		slowness = b.baselines.observe(route.Name, took)
+		if result == instances.Succeeded && len(p.parts) == 0 {
+			b.overloadOf(p.instance.Service).RecordAnswer(took, p.loadAtReply, p.instance.Slots)
+		}
 	}
 	changes := b.registry.Report(now, p.instance.ID, result, slowness)
 	b.mu.Unlock()
@@ -31,7 +34,8 @@
 	b.mu.Lock()
 	now := b.options.Now()
 	if reply.Load != nil {
-		b.loads.UpdateInstance(now, p.instance.ID, reply.Load.Running+reply.Load.Waiting)
+		p.loadAtReply = reply.Load.Running + reply.Load.Waiting
+		b.loads.UpdateInstance(now, p.instance.ID, p.loadAtReply)
 	}
 	changes := b.recordStatements(now, p.instance.ID, reply)
 	b.mu.Unlock()
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -11,6 +11,7 @@
 	"github.com/verbenatrail/verbenatrail/internal/call"
 	"github.com/verbenatrail/verbenatrail/internal/decisionlog"
 	"github.com/verbenatrail/verbenatrail/internal/instances"
+	"github.com/verbenatrail/verbenatrail/internal/overload"
 	"github.com/verbenatrail/verbenatrail/internal/refusal"
 	"github.com/verbenatrail/verbenatrail/internal/retry"
 	"github.com/verbenatrail/verbenatrail/internal/routing"
@@ -102,14 +103,29 @@
 	return r.workspace.Name
 }
 
+// target returns what the call is to be placed at.
+func (r *run) target() target {
+	timeLeft := r.call.Timeout
+	if timeLeft <= 0 {
+		timeLeft = r.deadline.Sub(r.call.ReceivedAt)
+	}
+	return target{
+		service: r.service, workspace: r.workspaceName(), objective: r.route.Objective, timeLeft: timeLeft,
+	}
+}
+
 // serve makes attempts until one succeeds or a verdict ends the call.
 func (r *run) serve() {
 	b := r.dispatcher.options.Balancer
 	r.dispatcher.metrics.inFlight.Inc(1)
 	b.recordRequest(r.service)
 	for {
-		p, ok := b.choose(r.call, r.service, r.excluded)
-		if !ok {
+		p, rejected := b.choose(r.call, r.target(), r.excluded)
+		if rejected != nil {
+			r.reject(rejected)
+			return
+		}
+		if p == nil {
 			r.noInstance()
 			return
 		}
@@ -198,6 +214,21 @@
 	return max(r.route.Objective/objectiveDivisor, minAttemptFloor)
 }
 
+// reject ends a call that its service has no place for.
+func (r *run) reject(d *overload.Decision) {
+	r.dispatcher.options.Log.Decision("service overloaded", decisionlog.Fields{
+		"call": r.call.ID, "route": r.route.Name, "service": r.service, "workspace": r.workspaceName(),
+		"load": d.Load, "limit": d.Limit, "service_time_ms": d.ServiceTime.Milliseconds(),
+		"share": d.Share.String(), "retry_after_ms": d.RetryAfter.Milliseconds(), "failed_sends": r.attempts,
+	})
+	if r.attempts > 0 || r.failedDials > 0 {
+		r.noInstance()
+		return
+	}
+	r.refuse(refusal.New(refusal.Overloaded, "the service has no place that is free in time: send the call again after the pause").
+		WithRetryAfter(d.RetryAfter))
+}
+
 // noInstance ends a call for which there is no candidate instance.
 func (r *run) noInstance() {
 	if left, paused := r.dispatcher.options.Balancer.pauseLeft(r.service); paused && !r.stream.started && !r.mayHaveRun && r.failure == nil {
@@ -242,7 +273,7 @@
 func (r *run) notRunRefusal(s attemptResult) *refusal.Refusal {
 	if s.result == instances.Shed {
 		return refusal.New(refusal.Overloaded, "the service is full: send the call again after the pause").
-			WithRetryAfter(fullRetryAfter)
+			WithRetryAfter(overload.ReturnAfter(overloadCall(r.call, r.target())))
 	}
 	return refusal.New(refusal.NoLiveUpstream, "no instance could be reached: send the call again after the pause").
 		WithRetryAfter(fullRetryAfter)
@@ -282,6 +313,7 @@
 	if r.refusal != nil {
 		fields["kind"] = string(r.refusal.Kind)
 		fields["execution"] = string(r.refusal.Outcome)
+		fields["retry_after_ms"] = r.refusal.RetryAfter.Milliseconds()
 	}
 	r.dispatcher.options.Log.Decision("call ended", fields)
 }
--- a/internal/instances/instances.go
+++ b/internal/instances/instances.go
@@ -145,8 +145,12 @@
 		r.entries[i.ID] = e
 		reason = ReasonStarted
 	}
+	wasMissing := e.missing
 	e.instance, e.missing, e.removed = i, false, false
-	return r.report(now, e, reason)
+	if changes := r.report(now, e, reason); len(changes) > 0 || !wasMissing {
+		return changes
+	}
+	return []Change{r.change(now, e, "listed again")}
 }
 
 // remove takes an entry that is no longer listed out of use. During an outage of
@@ -159,7 +163,7 @@
 	if duringOutage && !e.instance.Draining {
 		e.missing = true
 		e.removeAt = r.graceEnd(now)
-		return nil
+		return []Change{r.change(now, e, "missing from the listing, stays in use for "+e.removeAt.Sub(now).String())}
 	}
 	e.removed = true
 	return r.drop(now, e, "left the listing")
@@ -308,5 +312,9 @@
 		return nil
 	}
 	e.reported = state
-	return []Change{{Instance: e.instance, State: state, Reason: reason, Faults: e.faults}}
+	return []Change{r.change(now, e, reason)}
+}
+
+func (r *Registry) change(now time.Time, e *entry, reason string) Change {
+	return Change{Instance: e.instance, State: r.state(now, e), Reason: reason, Faults: e.faults}
 }
--- a/internal/instances/types.go
+++ b/internal/instances/types.go
@@ -88,7 +88,8 @@
 // one after a restart under the same ID or at another address.
 const ReasonStarted = "started"
 
-// Change is a transition of an instance to another state.
+// Change is a transition of an instance to another state, or of its entry between
+// listed and missing.
 type Change struct {
 	Instance Instance
 	State    State
--- a/internal/placement/hash.go
+++ b/internal/placement/hash.go
@@ -32,6 +32,10 @@
 	return (float64(h>>(64-mantissaBits)) + 0.5) / (1 << mantissaBits)
 }
 
+// Uniform returns a value in (0, 1) that is determined by a text and uniformly
+// distributed over texts.
+func Uniform(text string) float64 { return unit(mix(xxhash.Sum64String(text))) }
+
 // rendezvousScore returns the score of weighted rendezvous hashing: a name gets a
 // share of the keys in proportion to its weight.
 func rendezvousScore(key uint64, name string, weight float64) float64 {
