Rejections after a failed send name the right cause; pauses of all instances apply there, too

Cause: a call that was rejected for overload after an engine had turned it away was answered as if no instance could be reached, with the fixed pause; and one whose last instance asked for a pause got the time to return of a full service.

Change: one place decides what a call that has not run is told: the pause left if all instances want one, else the time to return of a full or unreachable service.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -77,10 +77,9 @@
 	// outageRetryAfter is the same delay while the platform is unreachable:
 	// outages last seconds, and callers retry only once or twice.
 	outageRetryAfter = 2 * time.Second
-	// fullRetryAfter is the retry delay when all instances of a service are full
-	// or unreachable. A slot is probably free by then: a model engine completes a
-	// few responses in this time.
-	fullRetryAfter = 250 * time.Millisecond
+	// unreachableRetryAfter is the retry delay when no instance of a service can be
+	// reached: the first backoff of an unreachable instance is over by then.
+	unreachableRetryAfter = 250 * time.Millisecond
 )
 
 // Serve handles one call. The context ends when the caller disconnects.
--- a/internal/dispatch/notices.go
+++ b/internal/dispatch/notices.go
@@ -48,8 +48,8 @@
 	}
 }
 
-// pauseLeft returns the time until an instance of a service may be used again. It
-// returns false if none is paused.
+// pauseLeft returns the time until an instance of a service may be used again, if all
+// that could take calls are paused. It returns false otherwise.
 func (b *Balancer) pauseLeft(service string) (time.Duration, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/internal/instances/notices.go
+++ b/internal/instances/notices.go
@@ -62,8 +62,11 @@
 }
 
 // PauseLeft returns the time until the first paused instance of a service may be
-// used again. It returns false if none is paused.
+// used again. It returns false if none is paused, or another instance takes work.
 func (r *Registry) PauseLeft(now time.Time, service string) (time.Duration, bool) {
+	if len(r.Candidates(now, service, nil)) > 0 {
+		return 0, false
+	}
 	left, found := time.Duration(0), false
 	for _, e := range r.services[service] {
 		if r.state(now, e) != Paused {
