Fewer store calls at starts; new parts are told until all routers have them

Two followers then polled alike, though one only stands by. New prompt parts were told for a second, in which a router of a fleet of 79 sends digests to 64 of the others.

Change: at the first start only the seeds read the store, the others get their copies from them and read it after 1.5 to 4.5 s without one. A follower that has just started or stands by takes changes every 600 ms. Parts are told until each router has been sent them.

--- a/internal/dispatch/balancer.go
+++ b/internal/dispatch/balancer.go
@@ -54,6 +54,8 @@
 	containment *containment.Containment
 	overload    map[string]*overload.Service
 	routers     int
+	// coverageTime is how long it takes until each router has been sent a digest.
+	coverageTime time.Duration
 	// idByHash maps the hashes of listed instances to their IDs.
 	idByHash map[uint32]string
 	// recentParts are the prompt parts to report in digests.
--- a/internal/dispatch/balancer_test.go
+++ b/internal/dispatch/balancer_test.go
@@ -163,7 +163,7 @@
 	}
 	alone := count()
 	b.SetRetryBudget(retry.WindowSettings{Ratio: 0.2, Extra: 56.5, Length: 10 * time.Second})
-	b.SetRouterCount(4)
+	b.SetFleet(4, 0)
 	if shared := count(); shared*4 > alone+4 || shared == 0 {
 		t.Errorf("%d retries as the only router, %d as one of four", alone, shared)
 	}
@@ -231,3 +231,23 @@
 		t.Errorf("digest takes %d bytes", size)
 	}
 }
+
+// In a large fleet each router is sent a digest once in many rounds. A new part is
+// repeated until all have been sent it.
+func TestNewPartsAreRepeatedUntilAllRoutersHaveThem(t *testing.T) {
+	const coverage = 6 * time.Second
+	b := newTestBalancer(12)
+	b.SetFleet(413, coverage)
+	b.mustChoose(t, prompt("s"))
+	for _, tc := range []struct {
+		after time.Duration
+		told  bool
+	}{{0, true}, {coverage, true}, {coverage + time.Second, false}} {
+		b.now = startTime.Add(tc.after)
+		d := &peerpb.Digest{}
+		b.FillDigest(d)
+		if told := len(d.GetHeld()) > 0; told != tc.told {
+			t.Errorf("after %v: told %v, want %v", tc.after, told, tc.told)
+		}
+	}
+}
--- a/internal/dispatch/digest.go
+++ b/internal/dispatch/digest.go
@@ -7,6 +7,7 @@
 
 	"github.com/verbenatrail/verbenatrail/internal/instances"
 	"github.com/verbenatrail/verbenatrail/internal/loadshare"
+	"github.com/verbenatrail/verbenatrail/internal/peering"
 	"github.com/verbenatrail/verbenatrail/internal/peerpb"
 )
 
@@ -17,9 +18,9 @@
 	maxDigestParts   = 16
 	maxDigestFaults  = 12
 	maxDigestNotices = 6
-	// recentPartsTTL is how long a newly cached part is repeated in digests: for
-	// a few rounds, since datagrams may be lost.
-	recentPartsTTL = time.Second
+	// minRecentPartsTTL is the least time for which a newly cached part is repeated in
+	// digests: a few rounds, since datagrams may be lost.
+	minRecentPartsTTL = time.Second
 )
 
 // recentPart is a prompt part that an instance caches because of a call of this
@@ -64,7 +65,8 @@
 			})
 		}
 	}
-	oldest := b.options.Now().Add(-recentPartsTTL)
+	// Each router of a large fleet is sent a digest only once in several rounds.
+	oldest := b.options.Now().Add(-max(minRecentPartsTTL, b.coverageTime+peering.RoundInterval))
 	b.recentParts = slices.DeleteFunc(b.recentParts, func(p recentPart) bool { return p.at.Before(oldest) })
 	var parts []*peerpb.HeldPart
 	for i := len(b.recentParts) - 1; i >= 0 && len(parts) < maxDigestParts; i-- {
--- a/internal/dispatch/state.go
+++ b/internal/dispatch/state.go
@@ -66,11 +66,12 @@
 	clear(b.windows)
 }
 
-// SetRouterCount sets the number of routers that share the retry budget.
-func (b *Balancer) SetRouterCount(n int) {
+// SetFleet sets the number of routers that share the retry budget, and how long it
+// takes until each of them has been sent a digest.
+func (b *Balancer) SetFleet(routers int, coverageTime time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.routers = max(n, 1)
+	b.routers, b.coverageTime = max(routers, 1), coverageTime
 }
 
 // SetInstances replaces the instances with the platform's complete listing.
--- a/internal/edge/control.go
+++ b/internal/edge/control.go
@@ -64,8 +64,10 @@
 func (c *control) run() error {
 	ticker := time.NewTicker(peering.RoundInterval)
 	defer ticker.Stop()
-	c.start = newStartState(time.Now())
-	go c.edge.discoverRouters()
+	c.start = newStartState(time.Now(), &c.edge.options.Settings)
+	if !c.start.discoveryDone {
+		go c.edge.discoverRouters()
+	}
 	c.round(time.Now())
 	for {
 		select {
@@ -155,7 +157,7 @@
 	}
 	live := c.members.Live()
 	c.edge.routers.Store(&live)
-	c.edge.balancer.SetRouterCount(c.members.RouterCount())
+	c.edge.balancer.SetFleet(c.members.RouterCount(), c.members.CoverageTime())
 }
 
 // digestDelay batches new cached prompt parts into one digest; it is about the
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -57,6 +57,10 @@
 	leaving atomic.Bool
 	// outage is set while this router follows the store and can't reach it.
 	outage atomic.Bool
+	// standby is set while a router of higher precedence follows the store.
+	standby atomic.Bool
+	// followsSince is when this router last started to follow the store.
+	followsSince atomic.Pointer[time.Time]
 	// digestDue is set while a digest with new cached prompt parts is scheduled.
 	digestDue atomic.Bool
 
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -7,6 +7,7 @@
 	"github.com/verbenatrail/verbenatrail/internal/decisionlog"
 	"github.com/verbenatrail/verbenatrail/internal/kv"
 	"github.com/verbenatrail/verbenatrail/internal/mirror"
+	"github.com/verbenatrail/verbenatrail/internal/peering"
 )
 
 const (
@@ -18,6 +19,13 @@
 	// store before this one stops: two rounds, in which one that has become silent
 	// is detected.
 	unfollowDelay = 500 * time.Millisecond
+	// standbyPace is how often the follower that doesn't have precedence takes changes
+	// from its watch. The other one pushes them at once; if it fails, a new
+	// configuration is still in force well within two seconds.
+	standbyPace = 600 * time.Millisecond
+	// settleTime is how long after its start a follower paces its watch as one that
+	// stands by: most of those that start together turn out to be redundant.
+	settleTime = unfollowDelay + peering.RoundInterval
 )
 
 // followState is this router's state as a follower of the store.
@@ -43,6 +51,7 @@
 // routers follow it.
 func (c *control) decideFollow(now time.Time) {
 	others, before := c.members.Followers(kv.EraOf(c.mirror.Revision()))
+	c.edge.standby.Store(before > 0)
 	f := &c.follow
 	switch {
 	case f.stop == nil && others < wantedFollowers && c.mayReadStore(now):
@@ -62,14 +71,27 @@
 func (c *control) startFollowing(others int) {
 	ctx, cancel := context.WithCancel(c.ctx)
 	c.follow.stop, c.follow.connected = cancel, false
+	started := time.Now()
+	c.edge.followsSince.Store(&started)
 	c.edge.options.Log.Decision("store follower started", decisionlog.Fields{"others": others, "revision": kv.RawRevision(c.mirror.Revision())})
 	follower := &mirror.Follower{
 		Store:   c.edge.options.Store,
 		Deliver: func(u mirror.Update) { c.edge.deliver(ctx, storeUpdate{update: u}) },
+		Pace:    c.edge.followerPace,
 	}
 	go follower.Run(ctx, c.edge.resync)
 }
 
+// followerPace returns the pause of this router's follower between two changes. One
+// that has just started is about to learn whether others follow.
+func (e *Edge) followerPace() time.Duration {
+	since := e.followsSince.Load()
+	if e.standby.Load() || since != nil && time.Since(*since) < settleTime {
+		return standbyPace
+	}
+	return 0
+}
+
 func (c *control) stopFollowing(others int) {
 	c.follow.stop()
 	c.follow = followState{unconfirmed: c.follow.unconfirmed}
--- a/internal/edge/provider.go
+++ b/internal/edge/provider.go
@@ -62,6 +62,8 @@
 	Seeds []string
 	// FirstStart is set when the whole system starts for the first time.
 	FirstStart bool
+	// IsSeed is set if this router is one of the seeds of the others.
+	IsSeed bool
 	// GracePeriod is the time from the stop signal until the process is killed.
 	GracePeriod time.Duration
 	// DrainPeriod is how long an instance that leaves still serves calls.
--- a/internal/edge/starting.go
+++ b/internal/edge/starting.go
@@ -89,6 +89,8 @@
 		return true
 	case !s.discoveryDone:
 		return false
+	case c.edge.options.Settings.waitsForSeeds():
+		return now.Sub(s.startedAt) >= readerTimeout+s.jitter
 	case s.fleetSize <= smallFleetSize || slices.Contains(s.firstReaders, c.edge.options.Settings.PeerAddress):
 		return true
 	default:
@@ -106,6 +108,13 @@
 	c.send(now, slices.DeleteFunc(slices.Clone(c.start.firstReaders), func(a string) bool { return a == self }))
 }
 
-func newStartState(now time.Time) startState {
-	return startState{startedAt: now, jitter: rand.N(readerJitter)}
+// waitsForSeeds reports whether a router gets its first copy from the seeds. When the
+// whole system starts for the first time, the store has no record of any router yet, so
+// that none can tell how large the fleet is.
+func (s *Settings) waitsForSeeds() bool { return s.FirstStart && !s.IsSeed && len(s.Seeds) > 0 }
+
+// newStartState returns the state of a router that starts now. One that waits for the
+// seeds has no use for the list of routers.
+func newStartState(now time.Time, s *Settings) startState {
+	return startState{startedAt: now, jitter: rand.N(readerJitter), discoveryDone: s.waitsForSeeds()}
 }
--- a/internal/edge/starting_test.go
+++ b/internal/edge/starting_test.go
@@ -11,6 +11,8 @@
 	"github.com/verbenatrail/verbenatrail/internal/instances"
 	"github.com/verbenatrail/verbenatrail/internal/kv"
 	"github.com/verbenatrail/verbenatrail/internal/mirror"
+	"github.com/verbenatrail/verbenatrail/internal/peering"
+	"github.com/verbenatrail/verbenatrail/internal/placement"
 )
 
 // manyRouters returns the addresses of a fleet of n routers without this one.
@@ -36,7 +38,7 @@
 		{"the store doesn't answer", routersDiscovered{err: errors.New("down")}, 0, true},
 	} {
 		c := newTestControl(t)
-		c.start = newStartState(now)
+		c.start = newStartState(now, &c.edge.options.Settings)
 		if c.mayReadStore(now) {
 			t.Errorf("%s: reads the store before the routers are discovered", tc.name)
 		}
@@ -49,6 +51,37 @@
 	}
 }
 
+// When a whole fleet starts for the first time, only the seeds read the store at once;
+// the others get their copies from them, and read it if none comes.
+func TestFirstStartOfAFleetReadsTheStoreAtTheSeeds(t *testing.T) {
+	now := time.Unix(1_800_000_000, 0)
+	for _, tc := range []struct {
+		name     string
+		settings Settings
+		at, last bool
+	}{
+		{"seed", Settings{FirstStart: true, IsSeed: true, Seeds: []string{"10.0.0.1:7000"}}, true, true},
+		{"no seed", Settings{FirstStart: true, Seeds: []string{"10.0.0.1:7000"}}, false, true},
+		{"no seeds known", Settings{FirstStart: true}, true, true},
+		{"restart", Settings{Seeds: []string{"10.0.0.1:7000"}}, true, true},
+	} {
+		c := newTestControl(t)
+		tc.settings.PeerAddress = c.edge.options.Settings.PeerAddress
+		c.edge.options.Settings = tc.settings
+		c.start = newStartState(now, &c.edge.options.Settings)
+		c.follow.stop = func() {}
+		if !c.start.discoveryDone {
+			routersDiscovered{}.apply(c, now)
+		}
+		if got := c.mayReadStore(now); got != tc.at {
+			t.Errorf("%s: reads the store at once: %v", tc.name, got)
+		}
+		if got := c.mayReadStore(now.Add(readerTimeout + readerJitter)); got != tc.last {
+			t.Errorf("%s: reads the store in the end: %v", tc.name, got)
+		}
+	}
+}
+
 // All routers of a fleet must choose the same first readers, and only these read the
 // store immediately.
 func TestRoutersChooseSameFirstReaders(t *testing.T) {
@@ -59,7 +92,7 @@
 	c.follow.stop = func() {}
 	reading := 0
 	for _, self := range all {
-		c.start = newStartState(now)
+		c.start = newStartState(now, &c.edge.options.Settings)
 		c.edge.options.Settings.PeerAddress = self
 		routersDiscovered{addresses: append([]string(nil), all...)}.apply(c, now)
 		if c.mayReadStore(now) {
@@ -105,3 +138,29 @@
 		t.Error("a router that has a copy may not read the store")
 	}
 }
+
+// The follower with precedence takes changes at once; the other one stands by and
+// takes over when the first is no longer heard.
+func TestSecondFollowerStandsBy(t *testing.T) {
+	now := time.Now()
+	c := controlAt(t, 10)
+	c.follow.stop, c.follow.connected = func() {}, true
+	first := peering.Router{Name: "a", FollowsStore: true, StateRevision: 10, ChangedRevision: 10}
+	for placement.Key(first.Name) >= placement.Key(c.edge.options.Settings.Name) {
+		first.Name += "a"
+	}
+	c.members.RecordDigest(now, first)
+	c.decideFollow(now)
+	if pace := c.edge.followerPace(); pace != standbyPace {
+		t.Errorf("pace %v beside a follower with precedence", pace)
+	}
+	if got := c.catchUpDelay(); got != nonFollowerCatchUpDelay {
+		t.Errorf("catches up after %v while it stands by", got)
+	}
+	later := now.Add(2 * time.Second)
+	c.members.Tick(later)
+	c.decideFollow(later)
+	if pace := c.edge.followerPace(); pace != 0 {
+		t.Errorf("pace %v after the other follower fell silent", pace)
+	}
+}
--- a/internal/mirror/follower.go
+++ b/internal/mirror/follower.go
@@ -41,6 +41,10 @@
 	Prefix string
 	// Deliver is called with each update, in order. It must not block for long.
 	Deliver func(Update)
+	// Pace returns the pause after a list, and before the next changes are taken from
+	// the watch; nil means none. Each call of the store is billed, so a follower that
+	// only stands by for another one takes changes less often.
+	Pace func() time.Duration
 	// lastRevision is the revision after which the next watch continues.
 	lastRevision int64
 }
@@ -62,6 +66,9 @@
 				continue
 			}
 			listed = true
+			if _, err := f.pace(ctx, resync); err != nil {
+				return
+			}
 		}
 		healthy, err := f.watch(ctx, resync)
 		if healthy {
@@ -122,6 +129,27 @@
 			healthy = true
 			f.lastRevision = max(f.lastRevision, batch.Revision)
 			f.Deliver(Update{Events: batch.Events, Revision: batch.Revision})
+			if resynced, err := f.pace(ctx, resync); resynced || err != nil {
+				return healthy, err
+			}
 		}
 	}
 }
+
+// pace waits before the next changes are taken. It returns true if the records have
+// to be listed again, or the context's error.
+func (f *Follower) pace(ctx context.Context, resync <-chan struct{}) (resynced bool, err error) {
+	if f.Pace == nil {
+		return false, nil
+	}
+	timer := time.NewTimer(f.Pace())
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return false, nil
+	case <-resync:
+		return true, nil
+	case <-ctx.Done():
+		return false, ctx.Err()
+	}
+}
--- a/internal/peering/evidence.go
+++ b/internal/peering/evidence.go
@@ -81,3 +81,9 @@
 	}
 	return time.Duration(rounds) * RoundInterval
 }
+
+// CoverageTime returns how long it takes until each member has been sent a digest.
+func (l *MemberList) CoverageTime() time.Duration {
+	rounds := (len(l.members) + Fanout - 1) / Fanout
+	return time.Duration(max(rounds, 1)) * RoundInterval
+}
--- a/internal/peering/memberlist_test.go
+++ b/internal/peering/memberlist_test.go
@@ -293,6 +293,25 @@
 	}
 }
 
+// After the coverage time, rounds of targets have reached every member.
+func TestCoverageTimeReachesAllMembers(t *testing.T) {
+	for _, members := range []int{1, Fanout, Fanout + 1, 78, 412} {
+		l := NewMemberList("self", 1)
+		for i := range members {
+			l.RecordDigest(time.Now(), Router{Name: fmt.Sprint("r-", i), PeerAddress: fmt.Sprint("p-", i)})
+		}
+		reached := map[string]bool{}
+		for range l.CoverageTime() / RoundInterval {
+			for _, address := range l.Targets() {
+				reached[address] = true
+			}
+		}
+		if len(reached) != members {
+			t.Errorf("%d of %d members are reached within %v", len(reached), members, l.CoverageTime())
+		}
+	}
+}
+
 func TestPropagationTime(t *testing.T) {
 	for n, want := range map[int]time.Duration{1: 0, 16: 0, 17: RoundInterval, 256: RoundInterval, 413: 2 * RoundInterval} {
 		l := NewMemberList("self", 1)
