--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -54,7 +54,7 @@
 	c.edge.standby.Store(before > 0)
 	f := &c.follow
 	switch {
-	case f.stop == nil && others < wantedFollowers && c.mayReadStore(now):
+	case f.stop == nil && others < wantedFollowers && c.mayFollow(now):
 		c.startFollowing(others)
 	case f.stop != nil && before >= wantedFollowers:
 		if f.redundantSince.IsZero() {
--- a/internal/edge/records.go
+++ b/internal/edge/records.go
@@ -19,9 +19,9 @@
 	// followerCatchUpDelay is how long the store's watch may take to deliver a change
 	// that another router already has: a few response times of the store.
 	followerCatchUpDelay = 150 * time.Millisecond
-	// nonFollowerCatchUpDelay is the same for a router that doesn't follow the store, or
-	// only stands by: the follower pushes changes, and one round of digests shows that
-	// a copy lacks nothing.
+	// nonFollowerCatchUpDelay is the same for a router that doesn't follow the store:
+	// followers push changes, and one round of digests shows that a copy lacks
+	// nothing.
 	nonFollowerCatchUpDelay = 300 * time.Millisecond
 	// fetchInterval is the minimum time between two fetches from other routers.
 	fetchInterval = 300 * time.Millisecond
@@ -138,8 +138,8 @@
 	switch {
 	case c.mirror.Revision() == 0:
 		return 0
-	case c.follow.healthy() && !c.edge.standby.Load():
-		return followerCatchUpDelay
+	case c.follow.healthy():
+		return c.edge.followerPace() + followerCatchUpDelay
 	default:
 		return nonFollowerCatchUpDelay
 	}
@@ -154,11 +154,10 @@
 		return
 	}
 	r.nextFetch = now.Add(fetchInterval)
-	storeAhead := c.storeRequirement() > c.mirror.Revision()
 	switch {
-	case c.follow.stop != nil && (storeAhead || !c.edge.standby.Load()):
+	case c.follow.stop != nil:
 		c.resyncWatch(now)
-	case c.follow.stop == nil && storeAhead:
+	case c.storeRequirement() > c.mirror.Revision():
 		// The routers that claim to follow the store have not pushed its changes.
 		others, _ := c.members.Followers(kv.EraOf(c.mirror.Revision()))
 		c.startFollowing(others)
--- a/internal/edge/starting.go
+++ b/internal/edge/starting.go
@@ -83,19 +83,35 @@
 // all routers of a large fleet started together and each read a copy, the store
 // would be blocked for a long time.
 func (c *control) mayReadStore(now time.Time) bool {
-	s := &c.start
 	switch {
 	case c.mirror.Revision() > 0:
 		return true
-	case !s.discoveryDone:
+	case !c.start.discoveryDone:
 		return false
-	case c.edge.options.Settings.waitsForSeeds():
-		return now.Sub(s.startedAt) >= readerTimeout+s.jitter
-	case s.fleetSize <= smallFleetSize || slices.Contains(s.firstReaders, c.edge.options.Settings.PeerAddress):
-		return true
 	default:
-		return now.Sub(s.startedAt) >= readerTimeout+s.jitter
+		return c.readsAtOnce() || c.waitedForReaders(now)
+	}
+}
+
+// mayFollow reports whether this router may start to follow the store. One that got its
+// copy from another router has yet to hear which routers follow.
+func (c *control) mayFollow(now time.Time) bool {
+	return c.mayReadStore(now) && (c.readsAtOnce() || c.waitedForReaders(now))
+}
+
+// readsAtOnce reports whether this router reads the records from the store as soon as
+// it has started.
+func (c *control) readsAtOnce() bool {
+	settings := &c.edge.options.Settings
+	if settings.waitsForSeeds() {
+		return false
 	}
+	return c.start.fleetSize <= smallFleetSize || slices.Contains(c.start.firstReaders, settings.PeerAddress)
+}
+
+// waitedForReaders reports whether the routers that read at once had their time.
+func (c *control) waitedForReaders(now time.Time) bool {
+	return now.Sub(c.start.startedAt) >= readerTimeout+c.start.jitter
 }
 
 // notifyFirstReaders tells the first readers that this router has no copy yet. They
