A router without a copy follows no era; pauses outlast entries

Besides, the pause that an instance asked for was forgotten with its entry; an entry that went missing and came back within the pause got calls again.

Change: without a copy no era is required; pauses are kept beside departures. The follower's pause and its order to list again are one path.

--- a/internal/edge/era.go
+++ b/internal/edge/era.go
@@ -47,7 +47,12 @@
 }
 
 // storeRequirement is the revision that the store itself shows the copy has to reach:
-// the one it reported last, or the first of an era that it has named since.
+// the one it reported last, or the first of an era that it has named since. A router
+// without a copy waits for its turn to read the store, whatever the era.
 func (c *control) storeRequirement() int64 {
-	return max(c.records.store.revision, kv.JoinRevision(c.records.storeEra, 1))
+	reported := c.records.store.revision
+	if c.mirror.Revision() == 0 || c.records.storeEra == 0 {
+		return reported
+	}
+	return max(reported, kv.JoinRevision(c.records.storeEra, 1))
 }
--- a/internal/edge/era_test.go
+++ b/internal/edge/era_test.go
@@ -52,6 +52,23 @@
 	}
 }
 
+// A router without a copy is not behind, whatever era the store names: it has to wait
+// for its turn to read the store.
+func TestEraRequiresNothingWithoutACopy(t *testing.T) {
+	for _, era := range []int64{0, 7} {
+		c := controlAt(t, 0)
+		c.edge.options.StoreEra = func() int64 { return era }
+		c.checkStoreEra()
+		if got := c.requiredRevision(); got != 0 {
+			t.Errorf("era %d: revision %d is required", era, got)
+		}
+		c.catchUp(time.Now())
+		if c.follow.stop != nil {
+			t.Errorf("era %d: follows the store without a copy", era)
+		}
+	}
+}
+
 func TestRestoreRegistersAgain(t *testing.T) {
 	c := controlAt(t, kv.JoinRevision(1, 100))
 	restored := storeUpdate{update: mirror.Update{Full: true, Revision: kv.JoinRevision(2, 40)}}
--- a/internal/instances/instances.go
+++ b/internal/instances/instances.go
@@ -36,10 +36,8 @@
 	// it is far above that of the other instances of the service.
 	faults  float64
 	outlier bool
-	// pausedUntil is the end of the pause that the instance has asked this router
-	// for, avoidUntil that of one that it has asked other routers for.
-	pausedUntil time.Time
-	avoidUntil  time.Time
+	// avoidUntil is the end of the pause that the instance has asked other routers for.
+	avoidUntil time.Time
 }
 
 // Registry holds the instances that one router knows. It isn't safe for
@@ -53,9 +51,11 @@
 	// restartedAt is when the listing last returned from an older copy.
 	restartedAt time.Time
 	services    map[string][]*entry
-	// departures are the instances that have said that they leave, by ID. They
-	// outlast the entries, which may be missing for a while.
+	// departures are the instances that have said that they leave, by ID, pauses those
+	// that have asked this router for a pause. They outlast the entries, which may be
+	// missing for a while.
 	departures map[string]departure
+	pauses     map[string]pause
 	// lastResortPeriod is how long an instance that leaves may take work that no
 	// other one can take.
 	lastResortPeriod time.Duration
@@ -67,7 +67,7 @@
 func New() *Registry {
 	return &Registry{
 		entries: make(map[string]*entry), services: make(map[string][]*entry), departures: make(map[string]departure),
-		peerFaults: make(map[string]peerReport),
+		pauses: make(map[string]pause), peerFaults: make(map[string]peerReport),
 	}
 }
 
@@ -181,7 +181,7 @@
 func (r *Registry) Tick(now time.Time) []Change {
 	var changes []Change
 	r.findOutliers(now)
-	r.forgetDepartures(now)
+	r.forgetStatements(now)
 	for _, id := range r.ids() {
 		e := r.entries[id]
 		if e.missing {
@@ -294,7 +294,7 @@
 		return Gone
 	case e.instance.Draining || r.departing(e.instance):
 		return Draining
-	case now.Before(e.pausedUntil):
+	case now.Before(r.pausedUntil(e.instance)):
 		return Paused
 	case now.Before(e.avoidUntil):
 		return max(e.health.state(now), Suspect)
--- a/internal/instances/notices.go
+++ b/internal/instances/notices.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 )
@@ -23,6 +24,13 @@
 	at        time.Time
 }
 
+// pause is the request of an instance to be sent nothing.
+type pause struct {
+	// startedAt is the start of the instance that made the request.
+	startedAt time.Time
+	until     time.Time
+}
+
 // Notice is a statement of an instance about itself, as routers pass it on.
 type Notice struct {
 	ID string
@@ -54,10 +62,10 @@
 // time. A shorter pause than the current one has no effect.
 func (r *Registry) Pause(now time.Time, id string, until time.Time) []Change {
 	e, ok := r.entries[id]
-	if !ok || !until.After(e.pausedUntil) {
+	if !ok || !until.After(r.pausedUntil(e.instance)) {
 		return nil
 	}
-	e.pausedUntil = until
+	r.pauses[id] = pause{startedAt: e.instance.StartedAt, until: until}
 	return r.report(now, e, "asks for a pause")
 }
 
@@ -72,7 +80,7 @@
 		if r.state(now, e) != Paused {
 			continue
 		}
-		if until := e.pausedUntil.Sub(now); !found || until < left {
+		if until := r.pausedUntil(e.instance).Sub(now); !found || until < left {
 			left, found = until, true
 		}
 	}
@@ -88,9 +96,9 @@
 			out = append(out, Notice{ID: id, StartedAt: d.startedAt, Leaving: true})
 		}
 	}
-	for id, e := range r.entries {
-		if left := e.pausedUntil.Sub(now); left > 0 {
-			out = append(out, Notice{ID: id, StartedAt: e.instance.StartedAt, Pause: left})
+	for id, p := range r.pauses {
+		if left := p.until.Sub(now); left > 0 {
+			out = append(out, Notice{ID: id, StartedAt: p.startedAt, Pause: left})
 		}
 	}
 	slices.SortFunc(out, compareNotices)
@@ -138,16 +146,24 @@
 // lastResort reports whether an instance that leaves may still take work that no
 // other instance can take.
 func (r *Registry) lastResort(now time.Time, e *entry) bool {
-	if e.removed || e.health.replaced || e.instance.Draining || now.Before(e.pausedUntil) || !r.departing(e.instance) {
+	if e.removed || e.health.replaced || e.instance.Draining || now.Before(r.pausedUntil(e.instance)) || !r.departing(e.instance) {
 		return false
 	}
 	return now.Sub(r.departures[e.instance.ID].at) < r.lastResortPeriod
 }
 
-func (r *Registry) forgetDepartures(now time.Time) {
-	for id, d := range r.departures {
-		if now.Sub(d.at) >= departureLifetime {
-			delete(r.departures, id)
-		}
+// pausedUntil returns the end of the pause that this run of an instance has asked this
+// router for, the zero time if it asked for none.
+func (r *Registry) pausedUntil(i Instance) time.Time {
+	p, ok := r.pauses[i.ID]
+	if !ok || !p.startedAt.Equal(i.StartedAt) {
+		return time.Time{}
 	}
+	return p.until
+}
+
+// forgetStatements drops pauses that are over, and departures after departureLifetime.
+func (r *Registry) forgetStatements(now time.Time) {
+	maps.DeleteFunc(r.departures, func(_ string, d departure) bool { return now.Sub(d.at) >= departureLifetime })
+	maps.DeleteFunc(r.pauses, func(_ string, p pause) bool { return !now.Before(p.until) })
 }
--- a/internal/instances/notices_test.go
+++ b/internal/instances/notices_test.go
@@ -79,6 +79,18 @@
 	}
 }
 
+// The entry of a paused instance may go missing and come back before the pause is over.
+func TestPausesOutlastEntries(t *testing.T) {
+	r := New()
+	r.Replace(start, listed("a", "b"))
+	r.Pause(start, "a", at(10*time.Second))
+	r.Replace(at(time.Second), listed("b"))
+	r.Replace(at(2*time.Second), listed("a", "b"))
+	if got := ids(r.Candidates(at(2*time.Second), "s", nil)); got != "b" {
+		t.Errorf("candidates %q", got)
+	}
+}
+
 // A pause was asked of one router. Others avoid the instance, but use it rather than
 // refuse a call.
 func TestPausesOfOtherRoutersAreAvoided(t *testing.T) {
--- a/internal/mirror/follower.go
+++ b/internal/mirror/follower.go
@@ -56,8 +56,8 @@
 	listed := false
 	for ctx.Err() == nil {
 		if !listed {
-			err := f.list(ctx)
-			if errors.Is(err, kv.ErrRestored) {
+			err := f.listAndPace(ctx, resync)
+			if errors.Is(err, kv.ErrRestored) || errors.Is(err, errResync) {
 				continue
 			}
 			if err != nil {
@@ -66,15 +66,12 @@
 				continue
 			}
 			listed = true
-			if _, err := f.pace(ctx, resync); err != nil {
-				return
-			}
 		}
 		healthy, err := f.watch(ctx, resync)
 		if healthy {
 			failures = 0
 		}
-		if err == nil || errors.Is(err, kv.ErrCompacted) {
+		if err == nil || errors.Is(err, kv.ErrCompacted) || errors.Is(err, errResync) {
 			listed = false
 			continue
 		}
@@ -83,6 +80,18 @@
 	}
 }
 
+// errResync means that all records have to be listed again.
+var errResync = errors.New("the follower was told to list the records again")
+
+// listAndPace lists the records and waits before the first watch. Its error is that of
+// the list or the context, or errResync.
+func (f *Follower) listAndPace(ctx context.Context, resync <-chan struct{}) error {
+	if err := f.list(ctx); err != nil {
+		return err
+	}
+	return f.pace(ctx, resync)
+}
+
 // reportAndWait delivers an error and waits before the next call.
 func (f *Follower) reportAndWait(ctx context.Context, err error, failures int) {
 	if ctx.Err() != nil {
@@ -118,7 +127,7 @@
 	for {
 		select {
 		case <-resync:
-			return healthy, nil
+			return healthy, errResync
 		case batch, ok := <-batches:
 			if !ok {
 				return healthy, ctx.Err()
@@ -129,27 +138,27 @@
 			healthy = true
 			f.lastRevision = max(f.lastRevision, batch.Revision)
 			f.Deliver(Update{Events: batch.Events, Revision: batch.Revision})
-			if resynced, err := f.pace(ctx, resync); resynced || err != nil {
+			if err := f.pace(ctx, resync); err != nil {
 				return healthy, err
 			}
 		}
 	}
 }
 
-// pace waits before the next changes are taken. It returns true if the records have
-// to be listed again, or the context's error.
-func (f *Follower) pace(ctx context.Context, resync <-chan struct{}) (resynced bool, err error) {
+// pace waits before the next changes are taken. Its error is errResync or the
+// context's.
+func (f *Follower) pace(ctx context.Context, resync <-chan struct{}) error {
 	if f.Pace == nil {
-		return false, nil
+		return nil
 	}
 	timer := time.NewTimer(f.Pace())
 	defer timer.Stop()
 	select {
 	case <-timer.C:
-		return false, nil
+		return nil
 	case <-resync:
-		return true, nil
+		return errResync
 	case <-ctx.Done():
-		return false, ctx.Err()
+		return ctx.Err()
 	}
 }
