A router that starts learns the cached parts that come with its first records

Cause: a router that starts asks another one for the records and for what engines have cached, and gets both in one response. The parts were applied first; parts of instances that aren't known are ignored, so nearly all were lost, while the router took its list for complete and never asked the engines.

Change: the parts are applied after the records have been published.

--- a/internal/edge/records.go
+++ b/internal/edge/records.go
@@ -201,22 +201,26 @@
 		return
 	}
 	r.failedSources = nil
-	c.applyCachedParts(s.from, s.response)
 	delta := deltaFromProto(s.response)
 	had := c.mirror.Revision()
-	if !c.mirror.Merge(delta) {
-		return
+	merged := c.mirror.Merge(delta)
+	if merged {
+		c.handleEraChange(had, s.from)
+		c.revisionAdvanced(now)
+		c.clearUnconfirmed(now)
+		log.Decision("records fetched", decisionlog.Fields{
+			"router": s.from, "era": kv.EraOf(delta.Revision), "revision": kv.RawRevision(delta.Revision),
+			"had": kv.RawRevision(had), "full": delta.Full,
+			"entries": len(delta.Entries), "removed": len(delta.Removed),
+		})
+		c.publish(now)
+	}
+	// Cached parts of instances that aren't known yet are ignored, and a router that
+	// starts gets the records in the same response.
+	c.applyCachedParts(s.from, s.response)
+	if merged {
+		c.announceChange(now)
 	}
-	c.handleEraChange(had, s.from)
-	c.revisionAdvanced(now)
-	c.clearUnconfirmed(now)
-	log.Decision("records fetched", decisionlog.Fields{
-		"router": s.from, "era": kv.EraOf(delta.Revision), "revision": kv.RawRevision(delta.Revision),
-		"had": kv.RawRevision(had), "full": delta.Full,
-		"entries": len(delta.Entries), "removed": len(delta.Removed),
-	})
-	c.publish(now)
-	c.announceChange(now)
 }
 
 // publish applies the current records: routes, instances and router addresses.
--- a/internal/edge/starting_test.go
+++ b/internal/edge/starting_test.go
@@ -10,8 +10,10 @@
 
 	"github.com/verbenatrail/verbenatrail/internal/instances"
 	"github.com/verbenatrail/verbenatrail/internal/kv"
+	"github.com/verbenatrail/verbenatrail/internal/loadshare"
 	"github.com/verbenatrail/verbenatrail/internal/mirror"
 	"github.com/verbenatrail/verbenatrail/internal/peering"
+	"github.com/verbenatrail/verbenatrail/internal/peerpb"
 	"github.com/verbenatrail/verbenatrail/internal/placement"
 )
 
@@ -178,3 +180,29 @@
 		t.Errorf("pace %v after the other follower fell silent", pace)
 	}
 }
+
+// instanceProvider lists one instance for each record.
+type instanceProvider struct{ revisionProvider }
+
+func (instanceProvider) Translate(entries []kv.Entry, _ time.Time) Snapshot {
+	var s Snapshot
+	for _, e := range entries {
+		s.Instances = append(s.Instances, instances.Instance{ID: e.Key, Service: "s", Address: "10.0.0.1:80"})
+	}
+	return s
+}
+
+// A router that starts gets the records and the cached parts in one response. It must
+// know the instances before it applies their parts, or it would take itself for
+// complete without knowing any part.
+func TestFirstResponseBringsCachedPartsOfItsInstances(t *testing.T) {
+	c := newTestControl(t)
+	c.edge.options.Provider = instanceProvider{}
+	response := deltaToProto(mirror.Delta{Full: true, Revision: 5, Entries: []kv.Entry{{Key: "i-1", ModRevision: 5}}})
+	response.Held = []*peerpb.HeldPart{{Instance: loadshare.Hash("i-1"), Part: 7}}
+	response.HeldComplete = true
+	stateFetched{from: "other", response: response}.apply(c, time.Now())
+	if parts := c.edge.balancer.CachedParts(); len(parts) != 1 || parts[0].GetPart() != 7 {
+		t.Errorf("cached parts %v after the first response", parts)
+	}
+}
