--- a/internal/overload/overload.go
+++ b/internal/overload/overload.go
@@ -10,7 +10,7 @@
 //     a share of the objective. A longer queue answers as many calls a second, but all
 //     of them late.
 //   - One workspace that sends many times its usual: calls beyond its max-min fair
-//     share get no queue, so that the others see none of it.
+//     share get no queue, those of the others a longer one.
 //   - Callers that were all rejected at one moment: they return at random moments,
 //     soon enough to be answered within their objective.
 //   - A free slot: no call is rejected.
