--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -189,18 +189,21 @@
 func (e *Edge) listen() (listeners, error) {
 	s := e.options.Settings
 	var l listeners
-	for address, to := range map[string]*net.Listener{
-		s.CallerAddress: &l.callers, s.ReadyAddress: &l.ready,
-		s.DirectoryAddress: &l.directory, s.MetricsAddress: &l.metrics,
+	for _, at := range []struct {
+		address string
+		to      *net.Listener
+	}{
+		{s.CallerAddress, &l.callers}, {s.ReadyAddress, &l.ready},
+		{s.DirectoryAddress, &l.directory}, {s.MetricsAddress, &l.metrics},
 	} {
-		if address == "" {
+		if at.address == "" {
 			continue
 		}
-		listener, err := net.Listen("tcp4", address)
+		listener, err := net.Listen("tcp4", at.address)
 		if err != nil {
-			return listeners{}, errors.Wrapf(err, "can't listen on %s: set a free address of this host", address)
+			return listeners{}, errors.Wrapf(err, "can't listen on %s: set a free address of this host", at.address)
 		}
-		*to = listener
+		*at.to = listener
 	}
 	return l, nil
 }
--- a/internal/edge/starting_test.go
+++ b/internal/edge/starting_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"net"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -206,3 +208,19 @@
 		t.Errorf("cached parts %v after the first response", parts)
 	}
 }
+
+// Two settings name the same address. That is an error that names it, not a router that
+// lacks one of its listeners.
+func TestEqualAddressesAreAnError(t *testing.T) {
+	c := newTestControl(t)
+	free, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := free.Addr().String()
+	_ = free.Close()
+	c.edge.options.Settings.CallerAddress, c.edge.options.Settings.ReadyAddress = address, address
+	if _, err := c.edge.listen(); err == nil || !strings.Contains(err.Error(), address) {
+		t.Errorf("listening twice on %s: %v", address, err)
+	}
+}
