The head of an instance's response has a size limit

What happens: an instance that sends a head without an end fills the router's memory until the call's deadline. Cause: http.ReadResponse bounds neither lines nor their number, and informational responses were skipped without a count. Change: a head may take 16 KiB with the informational responses before it, of which there may be eight. A longer one is a broken response (ErrTooLong): the connection is closed, the response counted, the instance charged, the call sent again or answered as its kind allows.

--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/rcrowley/go-metrics"
 )
 
 // Errors of a call. Test for them with errors.Is.
@@ -68,9 +69,12 @@
 // Conn is a connection to an instance. It carries one call at a time.
 type Conn struct {
 	conn    net.Conn
+	limiter *headLimiter
 	reader  *bufio.Reader
 	writer  *bufio.Writer
 	address string
+	// overlong counts responses that exceed a size limit.
+	overlong metrics.Counter
 	// Reused is set if the connection has carried an earlier call.
 	Reused bool
 	// idleUntil is the time up to which the idle connection may be reused; after
@@ -115,20 +119,6 @@
 	return nil
 }
 
-// ReadHead reads the head of the next final response and skips informational
-// (1xx) responses. The body must be read before the next call of ReadHead.
-func (c *Conn) ReadHead(method string) (*http.Response, error) {
-	for {
-		response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
-		if err != nil {
-			return nil, errors.Wrap(ErrBroken, err.Error())
-		}
-		if response.StatusCode >= http.StatusOK {
-			return response, nil
-		}
-	}
-}
-
 // Close closes the connection, which is then not reused.
 func (c *Conn) Close() {
 	c.closed.Store(true)
--- /dev/null
+++ b/internal/upstream/headlimit.go
@@ -0,0 +1,77 @@
+package upstream
+
+import (
+	"net"
+	"net/http"
+
+	"github.com/pkg/errors"
+)
+
+const (
+	// maxHeadBytes bounds the head of a response together with the informational
+	// responses before it. A hundred heads of this size, decoded, take less than a
+	// quarter of a small host's memory (404 MB).
+	maxHeadBytes = 16 << 10
+	// maxInterimResponses bounds the informational (1xx) responses before a head.
+	maxInterimResponses = 8
+)
+
+// ErrTooLong means that a response, or a part of it, exceeds its size limit. It is a
+// kind of ErrBroken.
+var ErrTooLong = errors.Wrap(ErrBroken, "the response exceeds a size limit")
+
+// headLimiter bounds the bytes that are read from a connection while a head is read.
+type headLimiter struct {
+	conn net.Conn
+	// left is the number of bytes that may still be read while bounded is set.
+	left    int
+	bounded bool
+}
+
+// start bounds reads, when buffered bytes have been read already.
+func (l *headLimiter) start(buffered int) {
+	l.left, l.bounded = max(maxHeadBytes-buffered, 0), true
+}
+
+func (l *headLimiter) stop() { l.bounded = false }
+
+func (l *headLimiter) exceeded() bool { return l.bounded && l.left == 0 }
+
+// Read implements io.Reader. Its error is ErrTooLong when the bound is reached.
+func (l *headLimiter) Read(p []byte) (int, error) {
+	if !l.bounded {
+		return l.conn.Read(p)
+	}
+	if l.left == 0 {
+		return 0, ErrTooLong
+	}
+	n, err := l.conn.Read(p[:min(len(p), l.left)])
+	l.left -= n
+	return n, err
+}
+
+// ReadHead reads the head of the next final response and skips informational
+// (1xx) responses. The body must be read before the next call of ReadHead. Its errors
+// are ErrBroken and, for a head without an end, ErrTooLong.
+func (c *Conn) ReadHead(method string) (*http.Response, error) {
+	c.limiter.start(c.reader.Buffered())
+	defer c.limiter.stop()
+	for range maxInterimResponses + 1 {
+		response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+		switch {
+		case err != nil && c.limiter.exceeded():
+			return nil, c.tooLong("the head of the response has no end within %d bytes", maxHeadBytes)
+		case err != nil:
+			return nil, errors.Wrap(ErrBroken, err.Error())
+		case response.StatusCode >= http.StatusOK:
+			return response, nil
+		}
+	}
+	return nil, c.tooLong("more than %d informational responses", maxInterimResponses)
+}
+
+// tooLong counts a response that exceeds a limit and returns the error that says which.
+func (c *Conn) tooLong(format string, args ...any) error {
+	c.overlong.Inc(1)
+	return errors.Wrapf(ErrTooLong, format, args...)
+}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -32,6 +32,8 @@
 	dialer *net.Dialer
 	dials  metrics.Counter
 	reuses metrics.Counter
+	// overlong counts responses that exceed a size limit.
+	overlong metrics.Counter
 
 	mu   sync.Mutex
 	idle map[string][]*Conn
@@ -41,8 +43,9 @@
 func NewPool(registry metrics.Registry) *Pool {
 	return &Pool{
 		dialer: Dialer(dialTimeout), idle: make(map[string][]*Conn),
-		dials:  metrics.GetOrRegisterCounter("upstream.connections.opened", registry),
-		reuses: metrics.GetOrRegisterCounter("upstream.connections.reused", registry),
+		dials:    metrics.GetOrRegisterCounter("upstream.connections.opened", registry),
+		reuses:   metrics.GetOrRegisterCounter("upstream.connections.reused", registry),
+		overlong: metrics.GetOrRegisterCounter("upstream.responses.overlong", registry),
 	}
 }
 
@@ -63,9 +66,10 @@
 	if err != nil {
 		return nil, errors.Wrap(ErrUnreachable, err.Error())
 	}
+	limiter := &headLimiter{conn: conn}
 	return &Conn{
-		conn: conn, address: address,
-		reader: bufio.NewReaderSize(conn, readBufferSize), writer: bufio.NewWriterSize(conn, writeBufferSize),
+		conn: conn, address: address, limiter: limiter, overlong: p.overlong,
+		reader: bufio.NewReaderSize(limiter, readBufferSize), writer: bufio.NewWriterSize(conn, writeBufferSize),
 	}, nil
 }
 
