Buffered responses, events and request bodies share a bounded memory

What happens: an instance whose responses have no end may let each call buffer 32 MiB, and each stream an event of 1 MiB. Request bodies of callers had a limit each, but no sum. Change: memquota bounds the sum. What exceeds a limit is a broken response: logged with the figures, counted, charged to the instance, the connection closed; the call is sent again or answered as its kind allows. A rejection with a body without an end still says that the call has not run, but is charged as a broken response. Request bodies beyond the sum are rejected with a pause.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -10,6 +10,7 @@
 	"github.com/verbenatrail/verbenatrail/internal/call"
 	"github.com/verbenatrail/verbenatrail/internal/containment"
 	"github.com/verbenatrail/verbenatrail/internal/decisionlog"
+	"github.com/verbenatrail/verbenatrail/internal/memquota"
 	"github.com/verbenatrail/verbenatrail/internal/refusal"
 	"github.com/verbenatrail/verbenatrail/internal/routing"
 	"github.com/verbenatrail/verbenatrail/internal/telemetry"
@@ -49,6 +50,8 @@
 	// Table returns the current routing table, or nil before the first
 	// configuration.
 	Table func() *routing.Table
+	// Buffers bounds the memory of responses that are read before they are forwarded.
+	Buffers *memquota.Quota
 	// Outage reports whether the platform is unreachable.
 	Outage   func() bool
 	Log      *decisionlog.Log
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/verbenatrail/verbenatrail/internal/call"
 	"github.com/verbenatrail/verbenatrail/internal/instances"
+	"github.com/verbenatrail/verbenatrail/internal/memquota"
 	"github.com/verbenatrail/verbenatrail/internal/refusal"
 	"github.com/verbenatrail/verbenatrail/internal/routing"
 	"github.com/verbenatrail/verbenatrail/internal/upstream"
@@ -59,7 +60,7 @@
 		{Host: "h", Prefix: "/", Kind: routing.NonIdempotent, MaxAttempts: 1, Targets: []routing.Target{{Service: "app"}}},
 	}})
 	d := New(Options{
-		Balancer: b.Balancer, Pool: upstream.NewPool(registry), Codec: plainCodec{}, Registry: registry, Log: b.options.Log,
+		Balancer: b.Balancer, Pool: upstream.NewPool(registry), Codec: plainCodec{}, Registry: registry, Log: b.options.Log, Buffers: memquota.New(1 << 20),
 		Table: func() *routing.Table { return table }, Outage: func() bool { return false },
 	})
 	const calls = 100
@@ -96,7 +97,7 @@
 		{Host: "h", Prefix: "/", Kind: routing.Streaming, MaxAttempts: 1, Targets: []routing.Target{{Service: "model"}}},
 	}})
 	d := New(Options{
-		Balancer: b.Balancer, Pool: upstream.NewPool(registry), Codec: streamCodec{}, Registry: registry, Log: b.options.Log,
+		Balancer: b.Balancer, Pool: upstream.NewPool(registry), Codec: streamCodec{}, Registry: registry, Log: b.options.Log, Buffers: memquota.New(1 << 20),
 		Table: func() *routing.Table { return table }, Outage: func() bool { return false },
 	})
 	c := prompt("read")
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -11,6 +11,7 @@
 	"github.com/verbenatrail/verbenatrail/internal/call"
 	"github.com/verbenatrail/verbenatrail/internal/decisionlog"
 	"github.com/verbenatrail/verbenatrail/internal/instances"
+	"github.com/verbenatrail/verbenatrail/internal/memquota"
 	"github.com/verbenatrail/verbenatrail/internal/overload"
 	"github.com/verbenatrail/verbenatrail/internal/refusal"
 	"github.com/verbenatrail/verbenatrail/internal/retry"
@@ -42,6 +43,8 @@
 	// failure is an error response of an instance. It is forwarded if no other
 	// instance gives a better response.
 	failure *bufferedResponse
+	// buffers are the shares of this call in the memory for responses.
+	buffers []*memquota.Reservation
 	// outcome is how the call ended, for logs and metrics.
 	outcome string
 	status  int
@@ -68,6 +71,14 @@
 	r.out.WriteResponse(b.status, b.header, b.body)
 }
 
+// reserve returns a share of the memory for responses that is released at the end of
+// the call.
+func (r *run) reserve() *memquota.Reservation {
+	reservation := r.dispatcher.options.Buffers.Reserve()
+	r.buffers = append(r.buffers, reservation)
+	return reservation
+}
+
 // streamPosition is how much of a stream the caller has received.
 type streamPosition struct {
 	started bool
@@ -293,8 +304,11 @@
 	})
 }
 
-// finish records and logs how the call ended.
+// finish releases the call's memory, and records and logs how it ended.
 func (r *run) finish() {
+	for _, b := range r.buffers {
+		b.Release()
+	}
 	m := r.dispatcher.metrics
 	m.inFlight.Dec(1)
 	m.ended(r.outcome).Inc(1)
--- a/internal/dispatch/send.go
+++ b/internal/dispatch/send.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -20,7 +19,7 @@
 
 const (
 	// maxBufferedBody is the size limit of responses that are buffered before they
-	// are forwarded, in bytes.
+	// are forwarded, in bytes. Options.Buffers may allow less.
 	maxBufferedBody = 32 << 20
 	// maxStaleResponses is the number of late responses to other calls that are
 	// skipped on one connection, and maxStaleBody the size limit of each, in
@@ -138,7 +137,7 @@
 		if e.reply.CallID == "" || e.reply.CallID == e.run.call.ID {
 			return response, nil
 		}
-		if err := upstream.Discard(response, maxStaleBody); err != nil {
+		if err := e.conn.Discard(response, maxStaleBody); err != nil {
 			return nil, err
 		}
 	}
@@ -179,7 +178,8 @@
 }
 
 func (e *exchange) forwardNotRun(response *http.Response) attemptResult {
-	if err := upstream.Discard(response, maxStaleBody); err != nil {
+	err := e.conn.Discard(response, maxStaleBody)
+	if err != nil {
 		e.conn.Close()
 	} else {
 		e.release()
@@ -187,15 +187,15 @@
 	if e.reply.WrongInstance {
 		return failedAttempt(attempt.NotRun, instances.Replaced, "the address belongs to another instance")
 	}
+	if errors.Is(err, upstream.ErrTooLong) {
+		return failedAttempt(attempt.NotRun, instances.Broken, err.Error())
+	}
 	return failedAttempt(attempt.NotRun, instances.Shed, "status "+strconv.Itoa(response.StatusCode))
 }
 
 // forwardBuffered reads the complete response before it forwards it.
 func (e *exchange) forwardBuffered(response *http.Response) attemptResult {
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxBufferedBody+1))
-	if err == nil && len(body) > maxBufferedBody {
-		err = errors.Wrap(upstream.ErrBroken, "response exceeds 32 MiB")
-	}
+	body, err := e.conn.ReadBody(response, maxBufferedBody, e.run.reserve())
 	if err != nil {
 		e.conn.Close()
 		return e.classifyReadError(err)
--- a/internal/dispatch/stream.go
+++ b/internal/dispatch/stream.go
@@ -15,7 +15,7 @@
 // the first event, so that a call whose stream fails before it can still be
 // retried.
 func (e *exchange) forwardStream(response *http.Response) attemptResult {
-	reader := upstream.NewEventReader(response.Body)
+	reader := e.conn.ReadEvents(response, e.run.reserve())
 	for {
 		event, err := reader.Next()
 		if err == io.EOF {
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -17,6 +17,7 @@
 	"github.com/verbenatrail/verbenatrail/internal/dispatch"
 	"github.com/verbenatrail/verbenatrail/internal/ingress"
 	"github.com/verbenatrail/verbenatrail/internal/kv"
+	"github.com/verbenatrail/verbenatrail/internal/memquota"
 	"github.com/verbenatrail/verbenatrail/internal/peering"
 	"github.com/verbenatrail/verbenatrail/internal/peerpb"
 	"github.com/verbenatrail/verbenatrail/internal/routing"
@@ -77,6 +78,10 @@
 // for calls that are already on their way.
 const lastResortDivisor = 2
 
+// bufferShare is the share of the process's memory, an eighth, that buffered responses
+// and buffered request bodies may take each.
+const bufferShare = 8
+
 // commandBuffer is the number of commands that can wait for the control goroutine.
 const commandBuffer = 256
 
@@ -97,12 +102,14 @@
 		OnDigestChange: e.scheduleDigest,
 	})
 	e.pool = upstream.NewPool(o.Registry)
+	share := settings.memory() / bufferShare
 	dispatcher := dispatch.New(dispatch.Options{
 		Balancer: e.balancer, Pool: e.pool, Codec: o.Codec, Table: e.table.Load, Outage: e.outage.Load,
-		Log: o.Log, Registry: o.Registry,
+		Buffers: memquota.New(share), Log: o.Log, Registry: o.Registry,
 	})
 	e.callers = ingress.New(ingress.Options{
-		Codec: o.Codec, Dispatcher: dispatcher, Table: e.table.Load, Log: o.Log, Registry: o.Registry,
+		Codec: o.Codec, Dispatcher: dispatcher, Table: e.table.Load, Buffers: memquota.New(share),
+		Log: o.Log, Registry: o.Registry,
 	})
 	e.routers.Store(&[]peering.Router{})
 	return e, nil
--- a/internal/edge/provider.go
+++ b/internal/edge/provider.go
@@ -70,6 +70,19 @@
 	DrainPeriod time.Duration
 	// AddressLifetime is how long callers may cache a response of the directory.
 	AddressLifetime time.Duration
+	// MemoryBytes is the memory that the process may use; zero means defaultMemory.
+	MemoryBytes int64
 	// RetryBudget bounds the retries that the whole fleet sends to one service.
 	RetryBudget retry.WindowSettings
 }
+
+// defaultMemory is the memory in bytes that a process may use if the settings don't
+// tell.
+const defaultMemory = 400 << 20
+
+func (s *Settings) memory() int64 {
+	if s.MemoryBytes > 0 {
+		return s.MemoryBytes
+	}
+	return defaultMemory
+}
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"io"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -16,6 +15,7 @@
 	"github.com/verbenatrail/verbenatrail/internal/call"
 	"github.com/verbenatrail/verbenatrail/internal/decisionlog"
 	"github.com/verbenatrail/verbenatrail/internal/dispatch"
+	"github.com/verbenatrail/verbenatrail/internal/memquota"
 	"github.com/verbenatrail/verbenatrail/internal/refusal"
 	"github.com/verbenatrail/verbenatrail/internal/routing"
 	"github.com/verbenatrail/verbenatrail/internal/serving"
@@ -48,12 +48,18 @@
 	// leavingRetryAfter is short, so that callers refused by a stopping router call
 	// another one at once.
 	leavingRetryAfter = 10 * time.Millisecond
+	// bodiesRetryAfter is the retry delay while request bodies take too much memory:
+	// the calls that hold it mostly end within a second.
+	bodiesRetryAfter = time.Second
 )
 
 // Options configure a Server.
 type Options struct {
 	Codec      Codec
 	Dispatcher Dispatcher
+	// Buffers bounds the memory of request bodies, which are read before a call is
+	// dispatched.
+	Buffers *memquota.Quota
 	// Table returns the current routing table, nil before one is known.
 	Table    func() *routing.Table
 	Log      *decisionlog.Log
@@ -150,7 +156,9 @@
 	if s.leaving.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	body, refused := s.readBody(w, r)
+	buffer := s.options.Buffers.Reserve()
+	defer buffer.Release()
+	body, refused := s.readBody(w, r, buffer)
 	c := s.options.Codec.DecodeCall(r, body)
 	c.ReceivedAt = receivedAt
 	if refused == nil && s.closed.Load() {
@@ -170,8 +178,9 @@
 	}
 }
 
-// readBody reads a request's body within the configured limits.
-func (s *Server) readBody(w http.ResponseWriter, r *http.Request) ([]byte, *refusal.Refusal) {
+// readBody reads a request's body within the configured limits and the memory that all
+// bodies may take together.
+func (s *Server) readBody(w http.ResponseWriter, r *http.Request, buffer *memquota.Reservation) ([]byte, *refusal.Refusal) {
 	limits := routing.Limits{}
 	if table := s.options.Table(); table != nil {
 		limits = table.Limits
@@ -189,11 +198,14 @@
 	if r.ContentLength == 0 {
 		return nil, nil
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	body, err := buffer.ReadAll(http.MaxBytesReader(w, r.Body, limit), limit)
 	var exceeded *http.MaxBytesError
 	switch {
 	case errors.As(err, &exceeded):
 		return nil, bodyTooLarge()
+	case errors.Is(err, memquota.ErrExhausted):
+		return nil, refusal.New(refusal.Overloaded, "the request bodies at this router: "+err.Error()+": send the call again after the pause").
+			WithRetryAfter(bodiesRetryAfter)
 	case err != nil:
 		return nil, refusal.New(refusal.BadRequest, "the body ended early: send the call again, "+err.Error())
 	default:
--- a/internal/ingress/timeouts_test.go
+++ b/internal/ingress/timeouts_test.go
@@ -11,6 +11,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/verbenatrail/verbenatrail/internal/decisionlog"
+	"github.com/verbenatrail/verbenatrail/internal/memquota"
 	"github.com/verbenatrail/verbenatrail/internal/routing"
 )
 
@@ -21,8 +22,8 @@
 	registry := metrics.NewRegistry()
 	table := routing.NewTable(routing.Options{Revision: 1, Limits: limits})
 	s := New(Options{
-		Table: func() *routing.Table { return table },
-		Log:   decisionlog.New(io.Discard, logrus.ErrorLevel, registry), Registry: registry,
+		Table: func() *routing.Table { return table }, Buffers: memquota.New(1 << 20),
+		Log: decisionlog.New(io.Discard, logrus.ErrorLevel, registry), Registry: registry,
 	})
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -6,7 +6,6 @@
 import (
 	"bufio"
 	"context"
-	"io"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -169,13 +168,3 @@
 	})
 	return err == nil && empty
 }
-
-// Discard reads the body of an unwanted response to its end, so that the
-// connection can be reused. It fails if the body reaches limit bytes.
-func Discard(response *http.Response, limit int64) error {
-	n, err := io.Copy(io.Discard, io.LimitReader(response.Body, limit))
-	if err != nil || n >= limit {
-		return errors.Wrap(ErrBroken, "the discarded response is incomplete or too long")
-	}
-	return nil
-}
--- a/internal/upstream/endless_test.go
+++ b/internal/upstream/endless_test.go
@@ -107,7 +107,7 @@
 		took := allocated(func() {
 			var response *http.Response
 			if response, err = c.ReadHead(http.MethodGet); err == nil {
-				err = Discard(response, 1<<20)
+				err = c.Discard(response, 1<<20)
 			}
 		})
 		c.Close()
--- a/internal/upstream/events.go
+++ b/internal/upstream/events.go
@@ -4,15 +4,20 @@
 	"bufio"
 	"bytes"
 	"io"
+	"net/http"
 
 	"github.com/pkg/errors"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/verbenatrail/verbenatrail/internal/memquota"
 )
 
 // maxEventBytes bounds the size of one event.
 const maxEventBytes = 1 << 20
 
-// ErrEventTooLong means that an event exceeds maxEventBytes.
-var ErrEventTooLong = errors.New("an event of the stream exceeds 1 MiB: the instance's response is aborted")
+// ErrEventTooLong means that an event exceeds maxEventBytes. It is a kind of
+// ErrTooLong.
+var ErrEventTooLong = errors.Wrap(ErrTooLong, "an event of the stream exceeds 1 MiB")
 
 // Event is one server-sent event.
 type Event struct {
@@ -27,11 +32,16 @@
 type EventReader struct {
 	reader *bufio.Reader
 	raw    []byte
+	// memory bounds raw together with the other messages that the process buffers.
+	memory *memquota.Reservation
+	// overlong counts events that exceed a limit.
+	overlong metrics.Counter
 }
 
-// NewEventReader returns a reader of the events in a response body.
-func NewEventReader(body io.Reader) *EventReader {
-	return &EventReader{reader: bufio.NewReaderSize(body, readBufferSize)}
+// ReadEvents returns a reader of the events in the body of a response on this
+// connection. The events' memory counts towards a quota.
+func (c *Conn) ReadEvents(response *http.Response, memory *memquota.Reservation) *EventReader {
+	return &EventReader{reader: bufio.NewReaderSize(response.Body, readBufferSize), memory: memory, overlong: c.overlong}
 }
 
 // Buffered reports whether the reader has buffered bytes that Next can use
@@ -39,8 +49,8 @@
 func (r *EventReader) Buffered() bool { return r.reader.Buffered() > 0 }
 
 // Next returns the next event. Raw is valid until the next call of Next. The
-// error is io.EOF if the stream ends after a complete event, and
-// io.ErrUnexpectedEOF if it ends within an event.
+// error is io.EOF if the stream ends after a complete event, io.ErrUnexpectedEOF if it
+// ends within an event, and ErrTooLong if an event exceeds a limit.
 func (r *EventReader) Next() (Event, error) {
 	r.raw = r.raw[:0]
 	event := Event{}
@@ -67,12 +77,25 @@
 func (r *EventReader) readLine() error {
 	for {
 		part, err := r.reader.ReadSlice('\n')
-		r.raw = append(r.raw, part...)
-		if len(r.raw) > maxEventBytes {
-			return ErrEventTooLong
+		if err := r.grow(len(r.raw) + len(part)); err != nil {
+			return err
 		}
+		r.raw = append(r.raw, part...)
 		if err != bufio.ErrBufferFull {
 			return err
 		}
 	}
 }
+
+// grow makes sure that an event may take size bytes.
+func (r *EventReader) grow(size int) error {
+	if size > maxEventBytes {
+		r.overlong.Inc(1)
+		return ErrEventTooLong
+	}
+	if err := r.memory.Grow(int64(size)); err != nil {
+		r.overlong.Inc(1)
+		return errors.Wrap(ErrTooLong, err.Error())
+	}
+	return nil
+}
--- a/internal/upstream/headlimit.go
+++ b/internal/upstream/limits.go
@@ -1,10 +1,13 @@
 package upstream
 
 import (
+	"io"
 	"net"
 	"net/http"
 
 	"github.com/pkg/errors"
+
+	"github.com/verbenatrail/verbenatrail/internal/memquota"
 )
 
 const (
@@ -70,6 +73,32 @@
 	return nil, c.tooLong("more than %d informational responses", maxInterimResponses)
 }
 
+// ReadBody reads the body of a response on this connection to its end, at most limit
+// bytes. It counts towards a quota until the reservation is released. Its errors are
+// those of the connection, and ErrTooLong for a body that exceeds a limit.
+func (c *Conn) ReadBody(response *http.Response, limit int64, memory *memquota.Reservation) ([]byte, error) {
+	body, err := memory.ReadAll(response.Body, limit)
+	if errors.Is(err, memquota.ErrTooLong) || errors.Is(err, memquota.ErrExhausted) {
+		return nil, c.tooLong("the body of the response: %v", err)
+	}
+	return body, err
+}
+
+// Discard reads the body of an unwanted response on this connection to its end, so that
+// the connection can be reused. Its errors are ErrBroken and, for a body of more than
+// limit bytes, ErrTooLong.
+func (c *Conn) Discard(response *http.Response, limit int64) error {
+	n, err := io.Copy(io.Discard, io.LimitReader(response.Body, limit+1))
+	switch {
+	case err != nil:
+		return errors.Wrap(ErrBroken, err.Error())
+	case n > limit:
+		return c.tooLong("the body of an unwanted response: more than %d bytes", limit)
+	default:
+		return nil
+	}
+}
+
 // tooLong counts a response that exceeds a limit and returns the error that says which.
 func (c *Conn) tooLong(format string, args ...any) error {
 	c.overlong.Inc(1)
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -13,6 +13,8 @@
 
 	"github.com/pkg/errors"
 	"github.com/rcrowley/go-metrics"
+
+	"github.com/verbenatrail/verbenatrail/internal/memquota"
 )
 
 // listen accepts connections and calls serve for each in its own goroutine.
@@ -68,6 +70,12 @@
 	return response
 }
 
+// newEventReader returns a reader of the events in a body.
+func newEventReader(body io.Reader) *EventReader {
+	c := &Conn{overlong: metrics.NewCounter()}
+	return c.ReadEvents(&http.Response{Body: io.NopCloser(body)}, memquota.New(64<<20).Reserve())
+}
+
 const okResponse = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 
 func TestConnectionsAreKept(t *testing.T) {
@@ -241,7 +249,7 @@
 
 func TestEvents(t *testing.T) {
 	stream := "id: 1\ndata: a\n\nid:2\r\ndata: b\r\n\r\ndata: c\n\n"
-	r := NewEventReader(strings.NewReader(stream))
+	r := newEventReader(strings.NewReader(stream))
 	var raw, ids []string
 	for {
 		event, err := r.Next()
@@ -260,12 +268,12 @@
 
 func TestTruncatedEventsAreNotReturned(t *testing.T) {
 	for _, stream := range []string{"id: 1", "id: 1\ndata: a\n", "data: a"} {
-		if _, err := NewEventReader(strings.NewReader(stream)).Next(); err != io.ErrUnexpectedEOF {
+		if _, err := newEventReader(strings.NewReader(stream)).Next(); err != io.ErrUnexpectedEOF {
 			t.Errorf("%q: %v", stream, err)
 		}
 	}
 	long := strings.NewReader(strings.Repeat("x", maxEventBytes+1))
-	if _, err := NewEventReader(long).Next(); err != ErrEventTooLong {
+	if _, err := newEventReader(long).Next(); err != ErrEventTooLong {
 		t.Errorf("long event: %v", err)
 	}
 }
@@ -275,7 +283,7 @@
 	f.Add([]byte("id: 1\ndata: a\n\n"), 3)
 	f.Add([]byte("\n\n\r\n\r\n"), 1)
 	f.Fuzz(func(t *testing.T, data []byte, chunk int) {
-		r := NewEventReader(&chunkedReader{data: bytes.Clone(data), size: chunk})
+		r := newEventReader(&chunkedReader{data: bytes.Clone(data), size: chunk})
 		var got []byte
 		for {
 			event, err := r.Next()
