--- a/cmd/vt-edge/main.go
+++ b/cmd/vt-edge/main.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -63,6 +64,7 @@
 	if err != nil || f.check {
 		return err
 	}
+	debug.SetMemoryLimit(boot.Edge.MemoryTarget())
 	registry := telemetry.NewRegistry()
 	log := decisionlog.New(os.Stdout, level, registry)
 	store := platform.NewStore(boot.StoreAddress, log, registry)
--- a/internal/callers/address.go
+++ b/internal/callers/address.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"io"
 	"net/http"
 	"net/url"
 	"time"
@@ -15,6 +16,9 @@
 
 const pathAddress = "/v1/address"
 
+// maxControlBytes bounds the responses of the fleet that aren't a call's result.
+const maxControlBytes = 64 << 10
+
 // maxCachedAddresses is the size limit of a client's address cache.
 const maxCachedAddresses = 100000
 
@@ -113,7 +117,7 @@
 		return Address{}, readRefusal(response)
 	}
 	var address Address
-	if err := json.NewDecoder(response.Body).Decode(&address); err != nil {
+	if err := json.NewDecoder(io.LimitReader(response.Body, maxControlBytes)).Decode(&address); err != nil {
 		return Address{}, errors.Wrap(ErrInvalidResponse, err.Error())
 	}
 	return address, nil
@@ -164,7 +168,7 @@
 // readRefusal decodes the refusal in a response's body.
 func readRefusal(response *http.Response) error {
 	var body refusal.Body
-	if err := json.NewDecoder(response.Body).Decode(&body); err != nil || body.Error.Kind == "" {
+	if err := json.NewDecoder(io.LimitReader(response.Body, maxControlBytes)).Decode(&body); err != nil || body.Error.Kind == "" {
 		return errors.Wrapf(ErrInvalidResponse, "status %d without a refusal", response.StatusCode)
 	}
 	return refusalFromBody(body)
--- a/internal/cluster/listpoller.go
+++ b/internal/cluster/listpoller.go
@@ -8,6 +8,7 @@
 
 	"github.com/verbenatrail/verbenatrail/internal/hostlist"
 	"github.com/verbenatrail/verbenatrail/internal/pause"
+	"github.com/verbenatrail/verbenatrail/internal/upstream"
 )
 
 // maxListInterval is the maximum time between polls of a long list.
@@ -24,7 +25,8 @@
 }
 
 func newListPoller(o Options) *listPoller {
-	client := &http.Client{Timeout: o.Settings.ListTimeout.Std()}
+	timeout := o.Settings.ListTimeout.Std()
+	client := &http.Client{Timeout: timeout, Transport: upstream.NewTransport(upstream.Dialer(timeout).DialContext, hostlist.MaxListBytes)}
 	return &listPoller{
 		http:           client,
 		client:         hostlist.NewClient(o.HostListURL, o.Self.Name, client),
--- a/internal/edge/metricspage_test.go
+++ b/internal/edge/metricspage_test.go
@@ -37,9 +37,9 @@
 		delete(described, name)
 	})
 	for name := range described {
-		// Counters by result or kind are registered at their first event, and
-		// store.era.invalid by the platform's client, whose tests check it.
-		if !strings.HasSuffix(name, ".*") && name != "edge.commands.dropped" && name != "store.era.invalid" {
+		// Counters by result or kind are registered at their first event, and the
+		// store's by the platform's client, whose tests check them.
+		if !strings.HasSuffix(name, ".*") && name != "edge.commands.dropped" && !strings.HasPrefix(name, "store.") {
 			t.Errorf("%s is listed in the page but doesn't exist", name)
 		}
 	}
--- a/internal/edge/provider.go
+++ b/internal/edge/provider.go
@@ -80,6 +80,14 @@
 // tell.
 const defaultMemory = 400 << 20
 
+// memoryTargetPercent is the share of the memory above which garbage is collected more
+// often. The rest is left to the kernel's buffers, which count, too.
+const memoryTargetPercent = 75
+
+// MemoryTarget returns the size in bytes that the process should stay below.
+func (s *Settings) MemoryTarget() int64 { return s.memory() / 100 * memoryTargetPercent }
+
+// memory returns the memory in bytes that the process may use.
 func (s *Settings) memory() int64 {
 	if s.MemoryBytes > 0 {
 		return s.MemoryBytes
--- a/internal/engineclient/client.go
+++ b/internal/engineclient/client.go
@@ -15,6 +15,7 @@
 
 	"github.com/verbenatrail/verbenatrail/internal/engineapi"
 	"github.com/verbenatrail/verbenatrail/internal/telemetry"
+	"github.com/verbenatrail/verbenatrail/internal/upstream"
 )
 
 // Errors of a response stream. Callers test for them with errors.Is.
@@ -62,11 +63,10 @@
 // tokens.
 func New(firstTokenTimeout, stallTimeout time.Duration) *Client {
 	dialer := &net.Dialer{Timeout: dialTimeout}
-	transport := &http.Transport{
-		DialContext:         dialer.DialContext,
-		MaxIdleConnsPerHost: maxIdleConnsPerHost,
-		IdleConnTimeout:     idleTimeout,
-	}
+	// The reader of a stream bounds each event.
+	const unboundedBody = 0
+	transport := upstream.NewTransport(dialer.DialContext, unboundedBody)
+	transport.MaxIdleConnsPerHost, transport.IdleConnTimeout = maxIdleConnsPerHost, idleTimeout
 	return &Client{http: &http.Client{Transport: transport}, stallTimeout: stallTimeout, firstTokenTimeout: firstTokenTimeout}
 }
 
--- a/internal/hostlist/client.go
+++ b/internal/hostlist/client.go
@@ -15,7 +15,8 @@
 	// PollOverheadBytes is the approximate size of the headers of a poll's request
 	// and response.
 	PollOverheadBytes = 256
-	maxListBytes      = 16 << 20
+	// MaxListBytes bounds a list, as sent and decompressed.
+	MaxListBytes = 16 << 20
 )
 
 // ErrUnavailable reports that a poll failed.
@@ -109,7 +110,7 @@
 		body = unzipped
 	}
 	var list List
-	if err := json.NewDecoder(io.LimitReader(body, maxListBytes)).Decode(&list); err != nil {
+	if err := json.NewDecoder(io.LimitReader(body, MaxListBytes)).Decode(&list); err != nil {
 		return nil, err
 	}
 	return list.Hosts, nil
--- a/internal/kv/etcdjson/store.go
+++ b/internal/kv/etcdjson/store.go
@@ -24,8 +24,10 @@
 	// DefaultTimeout is the timeout of one attempt at one endpoint; for a watch it
 	// covers only the opening of the stream.
 	DefaultTimeout = 2 * time.Second
-	// maxResponseBytes is the maximum size of a response body.
-	maxResponseBytes = 64 << 20
+	// maxResponseBytes is the maximum size of a response body and of a watch's message.
+	maxResponseBytes = 16 << 20
+	// maxHeadBytes is the maximum size of a response's head.
+	maxHeadBytes = 16 << 10
 )
 
 // Options configure a Store.
@@ -75,6 +77,7 @@
 	transport := http.DefaultTransport.(*http.Transport).Clone()
 	transport.Proxy = nil
 	transport.MaxIdleConnsPerHost = 8
+	transport.MaxResponseHeaderBytes = maxHeadBytes
 	return transport
 }
 
--- a/internal/kv/etcdjson/watch.go
+++ b/internal/kv/etcdjson/watch.go
@@ -57,8 +57,10 @@
 	defer close(out)
 	defer cancel()
 	defer response.Body.Close()
-	decoder := json.NewDecoder(response.Body)
+	limited := &io.LimitedReader{R: response.Body}
+	decoder := json.NewDecoder(limited)
 	for {
+		limited.N = maxResponseBytes
 		batch, ok := nextBatch(decoder)
 		if !ok {
 			continue
--- a/internal/owner/overlap.go
+++ b/internal/owner/overlap.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/verbenatrail/verbenatrail/internal/engineapi"
+	"github.com/verbenatrail/verbenatrail/internal/upstream"
 )
 
 const (
@@ -22,6 +23,8 @@
 	// reportInterval is the time between two reads of an upstream's load report.
 	reportInterval = 500 * time.Millisecond
 	reportTimeout  = 500 * time.Millisecond
+	// maxReportBytes bounds an upstream's load report.
+	maxReportBytes = 64 << 10
 	// historyRetention is how long load samples are kept; load reports lag by less.
 	historyRetention = 6 * time.Second
 	// maxClockSkew is the tolerated difference between an upstream's clock and the
@@ -167,5 +170,7 @@
 // connections are not kept alive.
 var httpClient = sync.OnceValue(func() *http.Client {
 	dialer := &net.Dialer{Timeout: reportTimeout}
-	return &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true}}
+	transport := upstream.NewTransport(dialer.DialContext, maxReportBytes)
+	transport.DisableKeepAlives = true
+	return &http.Client{Transport: transport}
 })
--- a/internal/peering/state.go
+++ b/internal/peering/state.go
@@ -26,8 +26,9 @@
 	// compressThreshold is the size in bytes above which a response is compressed.
 	// Up to it, a response fits in a few packets.
 	compressThreshold = 4 << 10
-	// maxStateBytes bounds a response after decompression.
-	maxStateBytes = 256 << 20
+	// maxStateBytes bounds a response after decompression: a few thousand instances'
+	// records and cached parts, and less than a tenth of a small host's memory (400 MB).
+	maxStateBytes = 32 << 20
 )
 
 // ErrBusy reports that a router is already sending its copy to as many others as
@@ -120,10 +121,13 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "open compressed state response")
 	}
-	data, err := io.ReadAll(io.LimitReader(r, maxStateBytes))
+	data, err := io.ReadAll(io.LimitReader(r, maxStateBytes+1))
 	if err != nil {
 		return nil, errors.Wrap(err, "decompress state response")
 	}
+	if len(data) > maxStateBytes {
+		return nil, errors.Errorf("state response of a router has more than %d bytes: update or restart that router", maxStateBytes)
+	}
 	full := &peerpb.StateResponse{}
 	if err := proto.Unmarshal(data, full); err != nil {
 		return nil, errors.Wrap(err, "decode decompressed state response")
--- a/internal/steward/steward.go
+++ b/internal/steward/steward.go
@@ -19,6 +19,7 @@
 	"github.com/verbenatrail/verbenatrail/internal/kv"
 	"github.com/verbenatrail/verbenatrail/internal/orders"
 	"github.com/verbenatrail/verbenatrail/internal/pause"
+	"github.com/verbenatrail/verbenatrail/internal/upstream"
 )
 
 const (
@@ -83,7 +84,9 @@
 // New returns a Steward; Run starts it.
 func New(options Options) *Steward {
 	if options.Client == nil {
-		options.Client = &http.Client{}
+		// Each call sets its own time limit.
+		const noTimeout = 0
+		options.Client = &http.Client{Transport: upstream.NewTransport(upstream.Dialer(noTimeout).DialContext, hostlist.MaxListBytes)}
 	}
 	if options.Registry == nil {
 		options.Registry = metrics.NewRegistry()
--- a/internal/upstream/endless_test.go
+++ b/internal/upstream/endless_test.go
@@ -1,7 +1,6 @@
 package upstream
 
 import (
-	"bytes"
 	"io"
 	"net"
 	"net/http"
@@ -12,6 +11,8 @@
 
 	"github.com/pkg/errors"
 	"github.com/rcrowley/go-metrics"
+
+	"github.com/verbenatrail/verbenatrail/internal/standin/endless"
 )
 
 const (
@@ -24,15 +25,15 @@
 	endlessShare = 4
 )
 
-// sendEndless writes start once and then more until the peer closes the connection.
-func sendEndless(start, more string) func(int, net.Conn) {
-	return func(_ int, conn net.Conn) {
-		defer func() { _ = conn.Close() }()
-		_, err := conn.Write([]byte(start))
-		for repeated := bytes.Repeat([]byte(more), 1+4096/len(more)); err == nil; {
-			_, err = conn.Write(repeated)
-		}
+// getEndless sends a request on a new connection to an instance that answers without an end.
+func getEndless(t *testing.T, p *Pool, r endless.Response) *Conn {
+	t.Helper()
+	c := get(t, p, endless.Serve(t, r))
+	c.SetReadDeadline(time.Now().Add(10 * time.Second))
+	if err := c.Send(&Request{Method: http.MethodGet, Host: "h", Target: "/", Header: http.Header{}}); err != nil {
+		t.Fatal(err)
 	}
+	return c
 }
 
 // allocated returns the bytes that f allocates, whether or not they are freed.
@@ -47,19 +48,9 @@
 // An instance sends a head without an end. A router that reads on until the deadline
 // takes more memory than a host has.
 func TestHeadWithoutEndIsBroken(t *testing.T) {
-	for name, sent := range map[string][2]string{
-		"status line":             {"HTTP/1.1 200 ", "x"},
-		"header line":             {"HTTP/1.1 200 OK\r\nX-Long: ", "x"},
-		"header lines":            {"HTTP/1.1 200 OK\r\n", "a:\r\n"},
-		"different header lines":  {"HTTP/1.1 200 OK\r\n", "a:\r\nb:\r\nc:\r\nd:\r\ne:\r\nf:\r\ng:\r\n"},
-		"informational responses": {"", "HTTP/1.1 100 Continue\r\n\r\n"},
-		"informational heads":     {"", "HTTP/1.1 103 Early Hints\r\nLink: " + strings.Repeat("x", 6000) + "\r\n\r\n"},
-		"other bytes":             {"", "\x00"},
-	} {
+	for name, sent := range endless.Heads {
 		registry := metrics.NewRegistry()
-		address := listen(t, sendEndless(sent[0], sent[1]))
-		c := get(t, NewPool(registry), address)
-		c.SetReadDeadline(time.Now().Add(10 * time.Second))
+		c := getEndless(t, NewPool(registry), sent)
 		var err error
 		took := allocated(func() { _, err = c.ReadHead(http.MethodGet) })
 		c.Close()
@@ -79,8 +70,7 @@
 func TestHeadAtTheLimitIsRead(t *testing.T) {
 	const start, end = "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 100000\r\nX-Long: ", "\r\n\r\n"
 	filler := strings.Repeat("x", maxHeadBytes-len(start)-len(end))
-	address := listen(t, sendEndless(start+filler+end, "body"))
-	c := get(t, NewPool(metrics.NewRegistry()), address)
+	c := getEndless(t, NewPool(metrics.NewRegistry()), endless.Response{Start: start + filler + end, More: "body"})
 	defer c.Close()
 	response, err := c.ReadHead(http.MethodGet)
 	if err != nil {
@@ -94,15 +84,13 @@
 // Chunk extensions and trailers are part of a body, but not of what is kept of it.
 func TestFramingWithoutEndIsBroken(t *testing.T) {
 	const head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
-	for name, sent := range map[string][2]string{
-		"chunk extension":  {head + "1;x=", "x"},
-		"chunk extensions": {head, "1;x=" + strings.Repeat("x", 3000) + "\r\na\r\n"},
-		"trailer":          {head + "0\r\nX-Long: ", "x"},
-		"trailers":         {head + "0\r\n", "a: b\r\n"},
+	for name, sent := range map[string]endless.Response{
+		"chunk extension":  {Start: head + "1;x=", More: "x"},
+		"chunk extensions": {Start: head, More: "1;x=" + strings.Repeat("x", 3000) + "\r\na\r\n"},
+		"trailer":          {Start: head + "0\r\nX-Long: ", More: "x"},
+		"trailers":         {Start: head + "0\r\n", More: "a: b\r\n"},
 	} {
-		address := listen(t, sendEndless(sent[0], sent[1]))
-		c := get(t, NewPool(metrics.NewRegistry()), address)
-		c.SetReadDeadline(time.Now().Add(10 * time.Second))
+		c := getEndless(t, NewPool(metrics.NewRegistry()), sent)
 		var err error
 		took := allocated(func() {
 			var response *http.Response
@@ -119,3 +107,33 @@
 		}
 	}
 }
+
+// The store, engines and other services answer control calls without an end.
+func TestControlResponsesWithoutEndAreBroken(t *testing.T) {
+	const limit = 64 << 10
+	responses := map[string]endless.Response{"body": {Start: endless.OK, More: "x"}}
+	for name, sent := range endless.Heads {
+		responses[name] = sent
+	}
+	for name, sent := range responses {
+		transport := NewTransport(Dialer(time.Second).DialContext, limit)
+		client := &http.Client{Transport: transport, Timeout: 10 * time.Second}
+		address := endless.Serve(t, sent)
+		var err error
+		took := allocated(func() {
+			var response *http.Response
+			if response, err = client.Get("http://" + address); err == nil {
+				_, err = io.ReadAll(response.Body)
+				_ = response.Body.Close()
+			}
+		})
+		transport.CloseIdleConnections()
+		var timeout net.Error
+		if err == nil || errors.As(err, &timeout) && timeout.Timeout() || name == "body" && !errors.Is(err, ErrTooLong) {
+			t.Errorf("%s: %v", name, err)
+		}
+		if took > smallestHost/endlessShare/endlessCalls {
+			t.Errorf("%s: allocates %d bytes, want at most %d", name, took, smallestHost/endlessShare/endlessCalls)
+		}
+	}
+}
