A hanging fetch from another router doesn't delay following the store

What callers may see: a configuration that is in force late. A router that lacks a change fetches it from another router, and only one fetch is made at a time, for up to two seconds. While one hung (a router that is cut off one way), a router that had learned from the store that its copy is behind didn't start to follow the store either. Change: following the store doesn't wait for a fetch. The test fails before.

--- a/internal/edge/confirm_test.go
+++ b/internal/edge/confirm_test.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -70,3 +71,26 @@
 		t.Errorf("age of the confirmation: got %v, want 100ms", age)
 	}
 }
+
+// A fetch from another router hangs, since that router can't be reached. The store,
+// which can, is followed meanwhile.
+func TestHangingFetchDoesNotDelayFollowingTheStore(t *testing.T) {
+	c := controlAt(t, 10)
+	c.edge.options.Store = unreachableStore{}
+	c.members.RecordDigest(confirmStart, peering.Router{Name: "other", ChangedRevision: 12, StateRevision: 12})
+	c.records.fetching = true
+	revisionResult{revision: 12, asked: confirmStart}.apply(c, confirmStart)
+	c.catchUp(confirmStart.Add(nonFollowerCatchUpDelay))
+	if c.follow.stop == nil {
+		t.Error("doesn't follow the store while a fetch hangs")
+	}
+}
+
+// unreachableStore is a store that doesn't respond.
+type unreachableStore struct{ kv.Store }
+
+// List implements kv.Store.
+func (unreachableStore) List(ctx context.Context, _ string) ([]kv.Entry, int64, error) {
+	<-ctx.Done()
+	return nil, 0, kv.ErrUnavailable
+}
--- a/internal/edge/records.go
+++ b/internal/edge/records.go
@@ -150,17 +150,18 @@
 // follow the store if the store is ahead of the copy.
 func (c *control) fetchMissing(now time.Time) {
 	r := &c.records
+	following := c.follow.stop != nil
+	if !following && c.storeRequirement() > c.mirror.Revision() {
+		// The routers that claim to follow the store have not pushed its changes.
+		others, _ := c.members.Followers(kv.EraOf(c.mirror.Revision()))
+		c.startFollowing(others)
+	}
 	if r.fetching || now.Before(r.nextFetch) {
 		return
 	}
 	r.nextFetch = now.Add(fetchInterval)
-	switch {
-	case c.follow.stop != nil:
+	if following {
 		c.resyncWatch(now)
-	case c.storeRequirement() > c.mirror.Revision():
-		// The routers that claim to follow the store have not pushed its changes.
-		others, _ := c.members.Followers(kv.EraOf(c.mirror.Revision()))
-		c.startFollowing(others)
 	}
 	source, ok := c.members.Source(c.mirror.Revision(), r.failedSources)
 	if !ok {
