The delays until a lost follower is noticed add up to less than the apply bound

What callers may see: a configuration in force later than configApplyMs after its acknowledgement. When the routers that follow the store lose it without an error, right after a confirmation, the others learn of it by their own questions: at 1.4 s, plus 0.3 s jitter, a round, 0.3 s until they catch up, another round, and a list, 2.5 s and more where 2 s are allowed (four hosts), 2.75 s where 3 s are (23 hosts). A question that failed put off the next one by as long as an answer does. Change: the sum is bounded, with a test over 4 to 413 routers.

--- a/internal/edge/confirm.go
+++ b/internal/edge/confirm.go
@@ -26,9 +26,11 @@
 // confirm checks with the store whether the copy of its records is complete,
 // unless this router or another has done so recently.
 func (c *control) confirm(now time.Time) {
-	if c.mirror.Revision() == 0 || !c.records.freshness.Due(now, c.follow.healthy(), c.members.PropagationTime(), rand.N(mirror.MaxJitter)) {
+	r := &c.records
+	if c.mirror.Revision() == 0 || !r.freshness.Due(now, c.follow.healthy(), c.members.PropagationTime(), r.askJitter) {
 		return
 	}
+	r.askJitter = rand.N(mirror.MaxJitter)
 	go c.edge.fetchRevision(now)
 }
 
@@ -45,6 +47,7 @@
 func (r revisionResult) apply(c *control, now time.Time) {
 	if r.err != nil {
 		// A watch may stay open although the store is unavailable.
+		c.records.freshness.RecordFailure(now)
 		c.storeUnavailable(now, r.err)
 		return
 	}
@@ -53,6 +56,10 @@
 		c.records.store = storeRevision{revision: r.revision, asked: r.asked}
 	}
 	c.revisionAdvanced(now)
+	if c.follow.healthy() && c.records.freshness.Age(now) <= now.Sub(r.asked) {
+		// The others rely on the confirmations of those that follow the store.
+		c.send(now, c.members.Targets())
+	}
 	c.catchUp(now)
 }
 
--- a/internal/edge/confirm_test.go
+++ b/internal/edge/confirm_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"testing"
 	"time"
 
@@ -94,3 +95,25 @@
 	<-ctx.Done()
 	return nil, 0, kv.ErrUnavailable
 }
+
+// A configuration is acknowledged right after the last confirmation of the copies, and
+// the routers that follow the store lose it silently. The delays until another router
+// lists the records add up to less than the time in which a configuration has to be in
+// force, on installations of each size.
+func TestDelaysAddUpToLessThanTheApplyBound(t *testing.T) {
+	// listTime is the time for a question and a list of several pages, on a busy host.
+	const listTime = 200 * time.Millisecond
+	for _, installation := range []struct {
+		routers int
+		bound   time.Duration
+	}{{4, 2 * time.Second}, {23, 3 * time.Second}, {31, 3 * time.Second}, {79, 4 * time.Second}, {413, 4 * time.Second}} {
+		members := peering.NewMemberList("r", 1)
+		for n := range installation.routers - 1 {
+			members.RecordDigest(confirmStart, peering.Router{Name: strconv.Itoa(n)})
+		}
+		sum := mirror.MaxUnconfirmed(members.PropagationTime()) + peering.RoundInterval + nonFollowerCatchUpDelay + listTime
+		if sum >= installation.bound {
+			t.Errorf("%d routers: the delays add up to %v, want less than %v", installation.routers, sum, installation.bound)
+		}
+	}
+}
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -33,6 +33,7 @@
 		return
 	}
 	c.catchUp(now)
+	c.confirm(now)
 }
 
 // handleStrikes applies strikes and queues the new ones for other routers.
--- a/internal/edge/records.go
+++ b/internal/edge/records.go
@@ -20,9 +20,8 @@
 	// that another router already has: a few response times of the store.
 	followerCatchUpDelay = 150 * time.Millisecond
 	// nonFollowerCatchUpDelay is the same for a router that doesn't follow the store:
-	// followers push changes, and one round of digests shows that a copy lacks
-	// nothing.
-	nonFollowerCatchUpDelay = 300 * time.Millisecond
+	// followers push changes.
+	nonFollowerCatchUpDelay = 150 * time.Millisecond
 	// fetchInterval is the minimum time between two fetches from other routers.
 	fetchInterval = 300 * time.Millisecond
 	// fetchRetryDelay is the same after a fetch from a router that was busy or failed.
@@ -36,6 +35,8 @@
 	freshness mirror.Freshness
 	// store is the last revision that the store reported.
 	store storeRevision
+	// askJitter is added to the age at which the store is asked for its revision.
+	askJitter time.Duration
 	// storeEra is the highest era that any response of the store has named.
 	storeEra int64
 	// fetching is set while a fetch is in progress; nextFetch is the earliest time of
@@ -119,14 +120,20 @@
 		r.behindSince = time.Time{}
 		return
 	}
+	delay := c.catchUpDelay()
 	if r.behindSince.IsZero() || r.behindRevision != c.mirror.Revision() {
 		r.behindSince, r.behindRevision = now, c.mirror.Revision()
+		time.AfterFunc(delay, func() { c.edge.post(catchUpDue{}) })
 	}
-	if now.Sub(r.behindSince) >= c.catchUpDelay() {
+	if now.Sub(r.behindSince) >= delay {
 		c.fetchMissing(now)
 	}
 }
 
+type catchUpDue struct{}
+
+func (catchUpDue) apply(c *control, now time.Time) { c.catchUp(now) }
+
 // requiredRevision is the latest revision that the copy has to be complete up to.
 func (c *control) requiredRevision() int64 {
 	return max(c.storeRequirement(), c.members.NewestChange())
