Confirmations of the records age while a list, a digest or the host waits

What callers may see: a configuration in force late at routers that never stood still. Cause, three times: a full list counted as complete when it was delivered, not when it was requested; the age in a digest was counted from the moment at which the control goroutine took it, without the time in the socket's buffer; the steady clock stands still while a host is suspended. Change: lists carry the time of their request; digests carry the time at which they were sent (peer.proto, sent_ms), from which the receiver learns how much longer one took than the fastest of the last one to two minutes; the control state's clock is the time since the host's start. A suspension is logged, and isn't taken for silence of the others. The tests of the list and of the digest fail with the old lines: age 0 instead of 3 s, 0.2 s instead of 3.2 s.

--- a/internal/dispatch/state.go
+++ b/internal/dispatch/state.go
@@ -94,12 +94,12 @@
 	b.registry.ListingRestarted(b.options.Now())
 }
 
-// ListingUnavailable records that the platform's listing has not been confirmed
-// since the given time.
-func (b *Balancer) ListingUnavailable(since time.Time) {
+// ListingUnavailable records that the platform's listing has not been confirmed for
+// the given time.
+func (b *Balancer) ListingUnavailable(age time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.registry.ListingUnavailable(since)
+	b.registry.ListingUnavailable(b.options.Now().Add(-age))
 }
 
 // ListingRestored records that the platform's listing can be read again.
--- a/internal/edge/confirm.go
+++ b/internal/edge/confirm.go
@@ -87,7 +87,7 @@
 		return
 	}
 	c.follow.unconfirmed = true
-	c.edge.balancer.ListingUnavailable(now.Add(-age))
+	c.edge.balancer.ListingUnavailable(age)
 	c.edge.options.Log.Lifecycle("records unconfirmed", decisionlog.Fields{
 		"revision": kv.RawRevision(c.mirror.Revision()), "confirmed_age_ms": age.Milliseconds(),
 	})
@@ -108,12 +108,14 @@
 }
 
 // applyPeerConfirmation applies another router's report of when its copy was
-// complete, if this copy lacks no change that the other has.
+// complete, if this copy lacks no change that the other has. The report may have waited
+// while this host stood still, or behind other datagrams.
 func (c *control) applyPeerConfirmation(now time.Time, r peering.Received) {
 	age := time.Duration(r.Digest.GetConfirmedAgeMs()) * time.Millisecond
 	if c.mirror.Revision() == 0 || r.Router.ChangedRevision > c.mirror.Revision() || age >= unknownAge {
 		return
 	}
+	age += c.members.Delay(now, r.Router)
 	if kv.EraOf(r.Router.StateRevision) != kv.EraOf(c.mirror.Revision()) {
 		// The other copy was complete before the store was restored.
 		return
--- a/internal/edge/confirm_test.go
+++ b/internal/edge/confirm_test.go
@@ -117,3 +117,69 @@
 		}
 	}
 }
+
+// A list arrives late, since the store is slow or this router stood still. The copy was
+// complete when the list was requested, not when it arrived.
+func TestListConfirmsTheCopyAsOfItsRequest(t *testing.T) {
+	const took = 3 * time.Second
+	c := controlAt(t, 10)
+	now := confirmStart.Add(took)
+	storeUpdate{update: mirror.Update{Full: true, Revision: 12, AskedAt: confirmStart}}.apply(c, now)
+	if age := c.records.freshness.Age(now); age != took {
+		t.Errorf("age of the confirmation: got %v, want %v", age, took)
+	}
+}
+
+// A digest waits in the socket's buffer while this router stands still. The confirmation
+// in it is older than the digest says, and must not be passed on as a recent one.
+func TestConfirmationAgesWhileTheDigestWaits(t *testing.T) {
+	const stood, age, sent = 3 * time.Second, 200 * time.Millisecond, time.Hour
+	c := controlAt(t, 10)
+	c.edge.options.Store = unreachableStore{}
+	receive := func(now time.Time, after time.Duration) {
+		r := digestFrom(8, 10, age)
+		r.Router.SentAt = sent + after
+		digestReceived{received: r}.apply(c, now)
+	}
+	receive(confirmStart, 0)
+	c.records.freshness = mirror.Freshness{}
+	wake := confirmStart.Add(peering.RoundInterval + stood)
+	receive(wake, peering.RoundInterval)
+	if got := c.records.freshness.Age(wake); got != age+stood {
+		t.Errorf("age of the confirmation: got %v, want %v", got, age+stood)
+	}
+	if reported := c.digest(wake).GetConfirmedAgeMs(); reported != uint32((age + stood).Milliseconds()) {
+		t.Errorf("reported age: %d ms", reported)
+	}
+	receive(wake.Add(time.Millisecond), peering.RoundInterval+stood)
+	if got := c.records.freshness.Age(wake.Add(time.Millisecond)); got > age+time.Millisecond {
+		t.Errorf("age after a digest that did not wait: %v", got)
+	}
+}
+
+// The host is suspended: the steady clock stands still, but confirmations age. The other
+// routers were not silent.
+func TestSuspensionAgesConfirmations(t *testing.T) {
+	const suspended = 4 * time.Second
+	clock := suspensionClock{sinceBoot: confirmStart, steady: confirmStart}
+	if _, got := clock.read(confirmStart.Add(time.Second), confirmStart.Add(time.Second)); got != 0 {
+		t.Errorf("suspended for %v, want 0", got)
+	}
+	now, got := clock.read(confirmStart.Add(time.Second+suspended), confirmStart.Add(time.Second))
+	if got != suspended || !now.Equal(confirmStart.Add(time.Second+suspended)) {
+		t.Errorf("suspended for %v at %v, want %v", got, now, suspended)
+	}
+	if _, again := clock.read(now, confirmStart.Add(time.Second)); again != 0 {
+		t.Errorf("the same suspension counts again: %v", again)
+	}
+	c := controlAt(t, 10)
+	c.confirmed(confirmStart, confirmStart)
+	c.members.RecordDigest(confirmStart, peering.Router{Name: "other"})
+	c.members.Suspended(suspended)
+	if age := c.records.freshness.Age(now); age != time.Second+suspended {
+		t.Errorf("age of the confirmation: %v", age)
+	}
+	if changes := c.members.Tick(confirmStart.Add(suspended + peering.RoundInterval)); len(changes) != 0 {
+		t.Errorf("routers count as silent after a suspension: %+v", changes)
+	}
+}
--- a/internal/edge/control.go
+++ b/internal/edge/control.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/verbenatrail/verbenatrail/internal/boottime"
 	"github.com/verbenatrail/verbenatrail/internal/containment"
 	"github.com/verbenatrail/verbenatrail/internal/decisionlog"
 	"github.com/verbenatrail/verbenatrail/internal/kv"
@@ -47,6 +48,7 @@
 	follow     followState
 	inventory  inventoryState
 	start      startState
+	clock      suspensionClock
 }
 
 func newControl(ctx context.Context, e *Edge) *control {
@@ -64,23 +66,39 @@
 func (c *control) run() error {
 	ticker := time.NewTicker(peering.RoundInterval)
 	defer ticker.Stop()
-	c.start = newStartState(time.Now(), &c.edge.options.Settings)
+	c.clock = newSuspensionClock()
+	c.start = newStartState(c.now(), &c.edge.options.Settings)
 	if !c.start.discoveryDone {
 		go c.edge.discoverRouters()
 	}
-	c.round(time.Now())
+	c.round(c.now())
 	for {
 		select {
 		case <-c.ctx.Done():
 			return nil
 		case command := <-c.edge.commands:
-			command.apply(c, time.Now())
-		case now := <-ticker.C:
-			c.round(now)
+			command.apply(c, c.now())
+		case <-ticker.C:
+			c.round(c.now())
 		}
 	}
 }
 
+// now returns the time on a clock that counts suspensions of the host. It handles a
+// suspension since the last call: the other routers were not silent, since their
+// digests wait in the socket.
+func (c *control) now() time.Time {
+	now, suspended := c.clock.read(boottime.Now(), time.Now())
+	if suspended > 0 {
+		c.members.Suspended(suspended)
+		c.edge.options.Log.Lifecycle("host was suspended", decisionlog.Fields{
+			"suspended_ms": suspended.Milliseconds(), "revision": kv.RawRevision(c.mirror.Revision()),
+			"confirmed_age_ms": c.records.freshness.Age(now).Milliseconds(),
+		})
+	}
+	return now
+}
+
 // round checks time-outs and sends this router's state to others.
 func (c *control) round(now time.Time) {
 	c.members.BeginRound()
@@ -95,7 +113,7 @@
 	c.catchUp(now)
 	c.confirm(now)
 	c.scheduleInventory(now)
-	c.edge.link.CloseIdle(now)
+	c.edge.link.CloseIdle(time.Now())
 }
 
 // send sends a digest with the next pending strikes.
@@ -114,7 +132,7 @@
 		Era: kv.EraOf(c.mirror.Revision()), StateRevision: kv.RawRevision(c.mirror.Revision()),
 		ChangedRevision: kv.RawRevision(c.mirror.ChangedRevision()),
 		ConfirmedAgeMs:  uint32(min(c.records.freshness.Age(now), unknownAge).Milliseconds()),
-		FollowsStore:    c.follow.healthy(),
+		FollowsStore:    c.follow.healthy(), SentMs: now.UnixMilli(),
 	}
 	c.edge.balancer.FillDigest(d)
 	d.Heard = c.members.DirectlyHeard()
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/verbenatrail/verbenatrail/internal/boottime"
 	"github.com/verbenatrail/verbenatrail/internal/decisionlog"
 	"github.com/verbenatrail/verbenatrail/internal/kv"
 	"github.com/verbenatrail/verbenatrail/internal/mirror"
@@ -78,6 +79,7 @@
 		Store:   c.edge.options.Store,
 		Deliver: func(u mirror.Update) { c.edge.deliver(ctx, storeUpdate{update: u}) },
 		Pace:    c.edge.followerPace,
+		Now:     boottime.Now,
 	}
 	go follower.Run(ctx, c.edge.resync)
 }
--- a/internal/edge/records.go
+++ b/internal/edge/records.go
@@ -71,7 +71,7 @@
 	before, had := c.mirror.ChangedRevision(), c.mirror.Revision()
 	changed := false
 	if u.Full {
-		c.confirmed(now, now)
+		c.confirmed(now, u.AskedAt)
 		changed = c.mirror.Replace(u.Entries, u.Revision)
 	} else {
 		changed = c.mirror.Apply(u.Events, u.Revision)
@@ -233,7 +233,7 @@
 
 // publish applies the current records: routes, instances and router addresses.
 func (c *control) publish(now time.Time) {
-	snapshot := c.edge.options.Provider.Translate(c.mirror.Entries(), now)
+	snapshot := c.edge.options.Provider.Translate(c.mirror.Entries(), time.Now())
 	c.logProblems(snapshot.Problems)
 	c.publishTable(now, snapshot.Table)
 	c.edge.balancer.SetInstances(snapshot.Instances)
--- a/internal/mirror/follower.go
+++ b/internal/mirror/follower.go
@@ -26,8 +26,10 @@
 type Update struct {
 	// Full is set if Entries holds a complete list of the records; Events is empty
 	// then.
-	Full     bool
-	Entries  []kv.Entry
+	Full    bool
+	Entries []kv.Entry
+	// AskedAt is when the list was requested. The copy was complete then.
+	AskedAt  time.Time
 	Events   []kv.Event
 	Revision int64
 	// Err is set if a call to the store failed; the Follower retries.
@@ -45,6 +47,8 @@
 	// the watch; nil means none. Each call of the store is billed, so a follower that
 	// only stands by for another one takes changes less often.
 	Pace func() time.Duration
+	// Now is the clock of Update.AskedAt; nil means time.Now.
+	Now func() time.Time
 	// lastRevision is the revision after which the next watch continues.
 	lastRevision int64
 }
@@ -106,15 +110,23 @@
 func (f *Follower) list(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
+	askedAt := f.now()
 	entries, revision, err := f.Store.List(ctx, f.Prefix)
 	if err != nil {
 		return err
 	}
 	f.lastRevision = revision
-	f.Deliver(Update{Full: true, Entries: entries, Revision: revision})
+	f.Deliver(Update{Full: true, Entries: entries, Revision: revision, AskedAt: askedAt})
 	return nil
 }
 
+func (f *Follower) now() time.Time {
+	if f.Now == nil {
+		return time.Now()
+	}
+	return f.Now()
+}
+
 // watch delivers changes until the watch ends. healthy is set once the store has
 // responded.
 func (f *Follower) watch(ctx context.Context, resync <-chan struct{}) (healthy bool, err error) {
--- a/internal/peering/link.go
+++ b/internal/peering/link.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/netip"
 	"slices"
+	"time"
 
 	"github.com/pkg/errors"
 	"github.com/rcrowley/go-metrics"
@@ -20,6 +21,9 @@
 	maxDatagramBytes = 1400
 	// senderIDBytes is the space reserved for the sender's name and incarnation.
 	senderIDBytes = 100
+	// maxSentMS is the latest time in milliseconds that a digest may name, beyond the
+	// uptime of any host.
+	maxSentMS = 1 << 40
 )
 
 // ErrPeerAddress reports that the router can't listen on its peer address.
@@ -164,7 +168,7 @@
 			Accepting: digest.GetAccepting(), Leaving: digest.GetLeaving(),
 			StateRevision:   kv.JoinRevision(digest.GetEra(), digest.GetStateRevision()),
 			ChangedRevision: kv.JoinRevision(digest.GetEra(), digest.GetChangedRevision()), FetchNow: digest.GetFetchNow(),
-			FollowsStore: digest.GetFollowsStore(),
+			FollowsStore: digest.GetFollowsStore(), SentAt: time.Duration(min(max(digest.GetSentMs(), 0), maxSentMS)) * time.Millisecond,
 		},
 		Digest: digest, Strikes: d.GetStrikes(),
 	}, true
--- a/internal/peering/memberlist.go
+++ b/internal/peering/memberlist.go
@@ -59,6 +59,8 @@
 	// FollowsStore is set while it watches the platform's store and the store is
 	// reachable.
 	FollowsStore bool
+	// SentAt is when it sent this state, on a clock of its own; zero if unknown.
+	SentAt time.Duration
 }
 
 // WentSilent is the Change.Kind of a router that is no longer heard.
@@ -81,6 +83,7 @@
 	silent    bool
 	// heardThisRound is set while it is in MemberList.heardThisRound.
 	heardThisRound bool
+	transit        transit
 }
 
 // MemberList is what one router knows of the others, including which of them are
@@ -156,6 +159,10 @@
 		}
 		changes = append(changes, Change{Router: router, Kind: kind})
 	}
+	if router.Incarnation != m.router.Incarnation {
+		m.transit = transit{}
+	}
+	m.transit.record(now, router.SentAt)
 	m.router, m.lastHeard, m.silent = router, now, false
 	return changes
 }
