A later configuration outlasts a restore of the store at all routers

What callers see: after a restore, until the operator writes again what the copy lacks, a router that starts applies the older configuration of the copy, while the others keep the later, acknowledged one. If the second writing is late, the fleet stays mixed. Cause: routers kept the later configuration in their routing tables only; their copies of the records, which others start from, took the older record with the newer era. Change: a copy keeps the later version of a record over a restore, until the record is written in the new era. Digests name the configuration in force (peer.proto, config_revision); a router whose copy lacks no change but applies an older one fetches the other's records and adopts the later version.

--- a/internal/edge/config_test.go
+++ b/internal/edge/config_test.go
@@ -35,6 +35,10 @@
 
 func (revisionProvider) Same(a, b kv.Entry) bool { return slices.Equal(a.Value, b.Value) }
 
+func (revisionProvider) Older(a, b kv.Entry) bool {
+	return a.Key == configRecord && a.Value[0] < b.Value[0]
+}
+
 func (revisionProvider) RoutersPrefix() string { return "routers/" }
 
 func (revisionProvider) Registration(string) (string, []byte) { return "self", nil }
@@ -74,7 +78,7 @@
 	properties := gopter.NewProperties(parameters)
 	c := newTestControl(t)
 	properties.Property("in force", prop.ForAll(func(codes []uint8) bool {
-		c.mirror, c.records = mirror.New(revisionProvider{}.Same), recordsState{}
+		c.mirror, c.records = mirror.New(revisionProvider{}), recordsState{}
 		c.edge.table.Store(nil)
 		return property(c, codes)
 	}, gen.SliceOfN(60, gen.UInt8())))
--- a/internal/edge/confirm_test.go
+++ b/internal/edge/confirm_test.go
@@ -28,7 +28,7 @@
 func controlAt(t *testing.T, revision int64) *control {
 	t.Helper()
 	c := newTestControl(t)
-	c.mirror = mirror.New(revisionProvider{}.Same)
+	c.mirror = mirror.New(revisionProvider{})
 	if revision > 0 {
 		c.mirror.Replace([]kv.Entry{{Key: "k", ModRevision: 1}}, revision)
 	}
--- a/internal/edge/control.go
+++ b/internal/edge/control.go
@@ -53,7 +53,7 @@
 
 func newControl(ctx context.Context, e *Edge) *control {
 	c := &control{
-		edge: e, ctx: ctx, mirror: mirror.New(e.options.Provider.Same), seeds: e.options.Settings.Seeds,
+		edge: e, ctx: ctx, mirror: mirror.New(e.options.Provider), seeds: e.options.Settings.Seeds,
 		members: peering.NewMemberList(e.options.Settings.Name, rand.Uint64()), pendingStrikes: containment.NewQueue(),
 	}
 	c.updateListedRouters()
@@ -134,6 +134,9 @@
 		ConfirmedAgeMs:  uint32(min(c.records.freshness.Age(now), unknownAge).Milliseconds()),
 		FollowsStore:    c.follow.healthy(), SentMs: now.UnixMilli(),
 	}
+	if table := c.edge.table.Load(); table != nil {
+		d.ConfigRevision = table.Revision
+	}
 	c.edge.balancer.FillDigest(d)
 	d.Heard = c.members.DirectlyHeard()
 	return d
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -33,9 +33,28 @@
 		return
 	}
 	c.catchUp(now)
+	c.fetchLaterConfiguration(now, d.received)
 	c.confirm(now)
 }
 
+// fetchLaterConfiguration fetches the records of a router that applies a later
+// configuration although its copy is no newer: it has kept the configuration over a
+// restore of the store, and this router has started since.
+func (c *control) fetchLaterConfiguration(now time.Time, r peering.Received) {
+	table, have := c.edge.table.Load(), c.mirror.Revision()
+	if table == nil || r.Digest.GetConfigRevision() <= table.Revision ||
+		r.Router.ChangedRevision > have || kv.EraOf(r.Router.StateRevision) != kv.EraOf(have) ||
+		c.records.fetching || now.Before(c.records.nextFetch) {
+		return
+	}
+	c.records.nextFetch = now.Add(fetchInterval)
+	c.records.fetching = true
+	c.edge.options.Log.Decision("router applies a later configuration", decisionlog.Fields{
+		"router": r.Router.Name, "config": r.Digest.GetConfigRevision(), "in_force": table.Revision, "era": kv.EraOf(have),
+	})
+	go c.edge.fetch(r.Router, &peerpb.StateRequest{})
+}
+
 // handleStrikes applies strikes and queues the new ones for other routers.
 func (c *control) handleStrikes(now time.Time, r peering.Received) {
 	for _, strike := range r.Strikes {
--- a/internal/edge/provider.go
+++ b/internal/edge/provider.go
@@ -12,6 +12,7 @@
 	"github.com/verbenatrail/verbenatrail/internal/instances"
 	"github.com/verbenatrail/verbenatrail/internal/kv"
 	"github.com/verbenatrail/verbenatrail/internal/locality"
+	"github.com/verbenatrail/verbenatrail/internal/mirror"
 	"github.com/verbenatrail/verbenatrail/internal/retry"
 	"github.com/verbenatrail/verbenatrail/internal/routing"
 )
@@ -31,9 +32,8 @@
 type Provider interface {
 	// Translate decodes the records. It is called by one goroutine only.
 	Translate(entries []kv.Entry, now time.Time) Snapshot
-	// Same reports whether two values of a record are equivalent for a router. It
-	// is called by the goroutine that calls Translate.
-	Same(a, b kv.Entry) bool
+	// Comparer is called by the goroutine that calls Translate.
+	mirror.Comparer
 	// RoutersPrefix returns the key prefix of all routers' records, whose values are
 	// peer addresses.
 	RoutersPrefix() string
--- a/internal/edge/records.go
+++ b/internal/edge/records.go
@@ -222,6 +222,11 @@
 			"entries": len(delta.Entries), "removed": len(delta.Removed),
 		})
 		c.publish(now)
+	} else if adopted := c.mirror.AdoptLater(delta.Entries); len(adopted) > 0 {
+		log.Decision("later versions of records adopted", decisionlog.Fields{
+			"router": s.from, "records": adopted, "era": kv.EraOf(had), "revision": kv.RawRevision(had),
+		})
+		c.publish(now)
 	}
 	// Cached parts of instances that aren't known yet are ignored, and a router that
 	// starts gets the records in the same response.
--- a/internal/edge/starting_test.go
+++ b/internal/edge/starting_test.go
@@ -136,7 +136,7 @@
 func TestRouterWithCopyMayReadStore(t *testing.T) {
 	c := newTestControl(t)
 	c.start = startState{discoveryDone: true, fleetSize: 300}
-	c.mirror = mirror.New(revisionProvider{}.Same)
+	c.mirror = mirror.New(revisionProvider{})
 	c.mirror.Replace([]kv.Entry{{Key: "k", ModRevision: 1}}, 1)
 	if !c.mayReadStore(time.Now()) {
 		t.Error("a router that has a copy may not read the store")
--- a/internal/mirror/era_test.go
+++ b/internal/mirror/era_test.go
@@ -99,7 +99,7 @@
 func mirrorsAgree(seed uint64) bool {
 	random := rand.New(rand.NewPCG(seed, 3))
 	store := &restorableStore{fakeStore: newFakeStore(), era: 1}
-	mirrors := []*Mirror{New(sameMeaning), New(sameMeaning), New(sameMeaning), New(sameMeaning)}
+	mirrors := []*Mirror{New(testRecords{}), New(testRecords{}), New(testRecords{}), New(testRecords{})}
 	var delayed []Delta
 	for range 120 {
 		m, other := mirrors[random.IntN(len(mirrors))], mirrors[random.IntN(len(mirrors))]
@@ -152,3 +152,41 @@
 	}
 	return true
 }
+
+// The store returns from a copy with an older version of a record. A mirror keeps the
+// later one, and one that was empty takes it from there. What is written in the new era
+// replaces both, also an older version.
+func TestLaterVersionIsKeptOverRestore(t *testing.T) {
+	entry := func(version byte, era, revision int64) kv.Entry {
+		return kv.Entry{Key: "k", Value: []byte{version}, ModRevision: kv.JoinRevision(era, revision)}
+	}
+	kept, started := New(testRecords{}), New(testRecords{})
+	kept.Replace([]kv.Entry{entry('C', 1, 9)}, kv.JoinRevision(1, 10))
+	restored := []kv.Entry{entry('B', 2, 4)}
+	kept.Replace(restored, kv.JoinRevision(2, 5))
+	started.Replace(restored, kv.JoinRevision(2, 5))
+	if got := meaningsOf(kept)["k"]; got != 'C' {
+		t.Errorf("version %c after the restore, want C", got)
+	}
+	full, ok := kept.Since(0)
+	if !ok || started.Merge(full) {
+		t.Errorf("a copy of the same revision: %v", ok)
+	}
+	if adopted := started.AdoptLater(full.Entries); len(adopted) != 1 || meaningsOf(started)["k"] != 'C' {
+		t.Errorf("adopted %v, version %c", adopted, meaningsOf(started)["k"])
+	}
+	if adopted := kept.AdoptLater(restored); len(adopted) != 0 {
+		t.Errorf("an older version is adopted: %v", adopted)
+	}
+	revision := int64(5)
+	for _, version := range []byte{'D', 'A'} {
+		revision++
+		written := entry(version, 2, revision)
+		for _, m := range []*Mirror{kept, started} {
+			m.Apply([]kv.Event{{Entry: written}}, written.ModRevision)
+			if got := meaningsOf(m)["k"]; got != version {
+				t.Errorf("version %c, want %c", got, version)
+			}
+		}
+	}
+}
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -20,9 +20,9 @@
 // Mirror is a copy of the records at one revision. It is not safe for concurrent
 // use.
 type Mirror struct {
-	equivalent func(a, b kv.Entry) bool
-	records    map[string]record
-	revision   int64
+	comparer Comparer
+	records  map[string]record
+	revision int64
 	// changed is the latest revision at which a record may have changed.
 	changed int64
 	// changes are the latest changes in order, complete after historyFloor.
@@ -53,10 +53,19 @@
 // maxChanges bounds the changes, and the gaps, that are kept for deltas.
 const maxChanges = 2048
 
-// New returns an empty Mirror. equivalent reports whether two values of a record
-// have the same meaning, so that the later one is not a change.
-func New(equivalent func(a, b kv.Entry) bool) *Mirror {
-	return &Mirror{equivalent: equivalent, records: make(map[string]record)}
+// Comparer compares values of one record.
+type Comparer interface {
+	// Same reports whether two values have the same meaning, so that the later one is
+	// not a change.
+	Same(a, b kv.Entry) bool
+	// Older reports whether a is an older version than b by a version in the values
+	// themselves; false if they have none.
+	Older(a, b kv.Entry) bool
+}
+
+// New returns an empty Mirror.
+func New(comparer Comparer) *Mirror {
+	return &Mirror{comparer: comparer, records: make(map[string]record)}
 }
 
 // Revision returns the revision up to which the copy is known to be complete, zero
@@ -121,14 +130,39 @@
 	return m.mergeEntry(e)
 }
 
-// mergeEntry returns the record that results from a write.
+// mergeEntry returns the record that results from a write. A store that was restored
+// from an older copy may have an older version of a record, which doesn't replace the
+// known one until it is written again.
 func (m *Mirror) mergeEntry(e kv.Entry) record {
 	known, ok := m.records[e.Key]
-	if ok && m.equivalent(known.entry, e) {
+	switch {
+	case ok && m.comparer.Same(known.entry, e):
 		known.entry.Value, known.lastWrite = e.Value, max(known.lastWrite, e.ModRevision)
 		return known
+	case ok && kv.EraOf(e.ModRevision) > kv.EraOf(known.lastWrite) && m.comparer.Older(e, known.entry):
+		known.lastWrite = e.ModRevision
+		return known
+	default:
+		return record{entry: e, lastWrite: e.ModRevision}
+	}
+}
+
+// AdoptLater replaces records by later versions from the copy of another router that
+// lacks no change, and returns their keys. The other router has kept them over a restore
+// of the store that this copy was read after.
+func (m *Mirror) AdoptLater(entries []kv.Entry) []string {
+	var adopted []string
+	for _, e := range entries {
+		known, ok := m.records[e.Key]
+		if !ok || known.lastWrite != e.ModRevision || !m.comparer.Older(known.entry, e) {
+			continue
+		}
+		known.entry.Value, known.entry.ModRevision = e.Value, m.revision
+		m.records[e.Key] = known
+		m.recordChange(e.Key, m.revision)
+		adopted = append(adopted, e.Key)
 	}
-	return record{entry: e, lastWrite: e.ModRevision}
+	return adopted
 }
 
 // recordReplacement records the changes made by replacing all records. The
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -24,6 +24,15 @@
 
 func newFakeStore() *fakeStore { return &fakeStore{entries: map[string]kv.Entry{}, revision: 1} }
 
+// testRecords compares records by sameMeaning. Upper case values are versions.
+type testRecords struct{}
+
+func (testRecords) Same(a, b kv.Entry) bool { return sameMeaning(a, b) }
+
+func (testRecords) Older(a, b kv.Entry) bool {
+	return a.Value[0] >= 'A' && b.Value[0] <= 'Z' && a.Value[0] < b.Value[0]
+}
+
 func sameMeaning(a, b kv.Entry) bool { return a.Value[0] == b.Value[0] }
 
 func (s *fakeStore) write(key string, meaning byte) {
@@ -102,7 +111,7 @@
 // description of the first violation, empty if there is none.
 func runOperations(codes []uint16) string {
 	store := newFakeStore()
-	mirrors := []*Mirror{New(sameMeaning), New(sameMeaning), New(sameMeaning)}
+	mirrors := []*Mirror{New(testRecords{}), New(testRecords{}), New(testRecords{})}
 	var delayed []Delta
 	var announcements []announcement
 	for _, code := range codes {
@@ -157,7 +166,7 @@
 // history nor sent to other routers, but advance the revision.
 func TestEquivalentWritesAreNotChanges(t *testing.T) {
 	store := newFakeStore()
-	m, other := New(sameMeaning), New(sameMeaning)
+	m, other := New(testRecords{}), New(testRecords{})
 	store.write("a", 'x')
 	m.Replace(store.list(), store.revision)
 	d, _ := m.Since(0)
@@ -191,7 +200,7 @@
 
 func TestTrimmedHistoryGivesFullDelta(t *testing.T) {
 	store := newFakeStore()
-	m := New(sameMeaning)
+	m := New(testRecords{})
 	store.write("a", 'x')
 	m.Replace(store.list(), store.revision)
 	first := m.Revision()
@@ -245,7 +254,7 @@
 	store := newFakeStore()
 	store.write("k", 'a')
 	store.write("other", 'a')
-	first, second, third := New(sameMeaning), New(sameMeaning), New(sameMeaning)
+	first, second, third := New(testRecords{}), New(testRecords{}), New(testRecords{})
 	first.Replace(store.list(), store.revision)
 	second.Replace(store.list(), store.revision)
 	store.write("k", 'b')
