--- a/internal/edge/era_test.go
+++ b/internal/edge/era_test.go
@@ -123,3 +123,35 @@
 	}
 	return true
 }
+
+// A router that has started after a restore reads the store's older configuration. It
+// adopts the later one that another router has kept, and keeps it until the next write.
+func TestLaterConfigurationOfAnotherRouterIsAdopted(t *testing.T) {
+	now := time.Now()
+	c := controlAt(t, 0)
+	c.edge.options.Store = unreachableStore{}
+	record := func(version byte, revision int64) kv.Entry {
+		return kv.Entry{Key: configRecord, Value: []byte{version}, ModRevision: kv.JoinRevision(2, revision)}
+	}
+	storeUpdate{update: mirror.Update{Full: true, Entries: []kv.Entry{record(1, 4)}, Revision: kv.JoinRevision(2, 9), AskedAt: now}}.apply(c, now)
+	d := digestFrom(kv.JoinRevision(2, 8), kv.JoinRevision(2, 9), 0)
+	d.Router.PeerAddress, d.Digest.ConfigRevision = "127.0.0.1:1", 2
+	digestReceived{received: d}.apply(c, now)
+	if !c.records.fetching {
+		t.Fatal("the later configuration is not fetched")
+	}
+	kept := mirror.Delta{Full: true, Revision: kv.JoinRevision(2, 9), ChangedRevision: kv.JoinRevision(2, 8), Entries: []kv.Entry{record(2, 4)}}
+	stateFetched{from: "other", response: deltaToProto(kept)}.apply(c, now)
+	if got := c.edge.table.Load().Revision; got != 2 {
+		t.Errorf("configuration %d in force, want 2", got)
+	}
+	c.records.nextFetch = time.Time{}
+	digestReceived{received: d}.apply(c, now)
+	if c.records.fetching {
+		t.Error("the same configuration is fetched again")
+	}
+	storeUpdate{update: mirror.Update{Events: []kv.Event{{Entry: record(3, 10)}}, Revision: kv.JoinRevision(2, 10)}}.apply(c, now)
+	if got := c.edge.table.Load().Revision; got != 3 {
+		t.Errorf("configuration %d in force, want 3", got)
+	}
+}
