A copy is confirmed while records change all the time

Cause, in the log of frontend-izmir-c-4: its records were unconfirmed for six seconds, so that an engine that left the listing stayed in use for 2.2 s, as after an outage. While engines are replaced all the time, the store is asked again before the copy has reached the revision that it reported last, and each answer replaced the one before. Change: reported revisions are kept until the copy has reached them. The test fails before: the copy is never confirmed.

--- a/internal/edge/confirm.go
+++ b/internal/edge/confirm.go
@@ -54,6 +54,7 @@
 	c.storeRestored()
 	if r.revision >= c.records.store.revision {
 		c.records.store = storeRevision{revision: r.revision, asked: r.asked}
+		c.records.pending = append(c.records.pending, c.records.store)
 	}
 	c.revisionAdvanced(now)
 	if c.follow.healthy() && c.records.freshness.Age(now) <= now.Sub(r.asked) {
@@ -64,13 +65,21 @@
 }
 
 // revisionAdvanced handles a new revision of the copy: once the copy has reached
-// the revision that the store reported, it was complete when that was requested.
+// a revision that the store reported, it was complete when that was requested. While
+// records change all the time, the store is asked again before the copy has reached the
+// revision that it reported last.
 func (c *control) revisionAdvanced(now time.Time) {
-	if store := c.records.store; store.revision > 0 && store.revision <= c.mirror.Revision() {
-		c.confirmed(now, store.asked)
+	pending := c.records.pending
+	for len(pending) > 0 && pending[0].revision <= c.mirror.Revision() {
+		c.confirmed(now, pending[0].asked)
+		pending = pending[1:]
 	}
+	c.records.pending = pending[max(len(pending)-maxPending, 0):]
 }
 
+// maxPending bounds the reported revisions that are kept: those of several seconds.
+const maxPending = 16
+
 // unknownAge is the age that a digest reports for a copy that was never confirmed.
 const unknownAge = math.MaxUint32 * time.Millisecond
 
--- a/internal/edge/confirm_test.go
+++ b/internal/edge/confirm_test.go
@@ -183,3 +183,20 @@
 		t.Errorf("routers count as silent after a suspension: %+v", changes)
 	}
 }
+
+// Records change all the time, and the copy follows the store with a delay: each
+// revision that the store reports is reached only after the next question.
+func TestCopyIsConfirmedWhileRecordsChangeAllTheTime(t *testing.T) {
+	const every, delayed, rounds = 600 * time.Millisecond, 10, 20
+	c := controlAt(t, 10)
+	now := confirmStart
+	for n := range int64(rounds) {
+		now = now.Add(every)
+		reported := 10 + (n+1)*delayed
+		revisionResult{revision: reported, asked: now}.apply(c, now)
+		storeUpdate{update: mirror.Update{Revision: reported - delayed/2}}.apply(c, now.Add(every/2))
+	}
+	if age := c.records.freshness.Age(now); age > 2*every {
+		t.Errorf("age of the confirmation: %v, want at most %v", age, 2*every)
+	}
+}
--- a/internal/edge/records.go
+++ b/internal/edge/records.go
@@ -33,8 +33,10 @@
 // recordsState tracks how current the copy of the records is.
 type recordsState struct {
 	freshness mirror.Freshness
-	// store is the last revision that the store reported.
-	store storeRevision
+	// store is the last revision that the store reported, pending the reported ones that
+	// the copy has not reached, oldest first.
+	store   storeRevision
+	pending []storeRevision
 	// askJitter is added to the age at which the store is asked for its revision.
 	askJitter time.Duration
 	// storeEra is the highest era that any response of the store has named.
