Crashes that a blamed part explains don't count for the parts beside it

Callers saw: sound calls refused for up to 30 s, since a prompt part that they share had been in flight at crashes that another part had caused.

Cause: a key was spared only if a blamed one had been in flight at all of its crashes. One crash without that one, or one lost report of it, and the bystander was blamed for the crashes that the other explains.

Change: keys are blamed in the order of their strikes; a crash at which a blamed key with more strikes was in flight doesn't count for the weaker ones.

Measured: TestKeyWithoutCrashesOfItsOwnIsNotBlamed fails on (the bystander is refused with 4 strikes) and passes with the change, as do the package's other tests.

--- a/internal/containment/blame.go
+++ b/internal/containment/blame.go
@@ -36,11 +36,50 @@
 	return now
 }
 
-// enough reports whether a key has the strikes to be blamed.
+// enough reports whether a key has the strikes to be blamed unless other keys explain them.
 func (c *Containment) enough(now time.Time, r *record) bool {
 	return c.distinct(r, c.settled(now, r)) >= c.needed(r)
 }
 
+// blamedKeys returns the keys that are blamed, in ascending order. A key is blamed if it
+// has the strikes for it at crashes that no blamed key with more strikes was in flight at:
+// such a key explains the crashes that they share.
+func (c *Containment) blamedKeys(now time.Time) []uint64 {
+	var keys []uint64
+	// explained maps crashes to the highest number of strikes of a blamed key in flight.
+	explained := make(map[uint64]int)
+	for _, s := range c.strongest(now) {
+		own := slices.DeleteFunc(slices.Clone(s.crashes), func(crashID uint64) bool { return explained[crashID] > len(s.crashes) })
+		if c.distinctOf(s.record, own) < c.needed(s.record) {
+			continue
+		}
+		keys = append(keys, s.record.key)
+		for _, crashID := range s.crashes {
+			explained[crashID] = max(explained[crashID], len(s.crashes))
+		}
+	}
+	slices.Sort(keys)
+	return keys
+}
+
+// suspectedKey is a key with the strikes to be blamed, and the crashes that count for it.
+type suspectedKey struct {
+	record  *record
+	crashes []uint64
+}
+
+// strongest returns the keys with the strikes to be blamed, those with the most first.
+func (c *Containment) strongest(now time.Time) []suspectedKey {
+	var suspects []suspectedKey
+	for key := range c.heavy {
+		if r := c.lookup(now, key); r != nil && c.enough(now, r) {
+			suspects = append(suspects, suspectedKey{record: r, crashes: r.counting(c.settled(now, r))})
+		}
+	}
+	slices.SortFunc(suspects, func(a, b suspectedKey) int { return len(b.crashes) - len(a.crashes) })
+	return suspects
+}
+
 // refusalGrowth is the factor by which the refusal for shared keys grows with each crash
 // after those that were needed for it.
 const refusalGrowth = 6
@@ -68,9 +107,12 @@
 // told apart from them, or nil if there are none.
 func (c *Containment) blamed(now time.Time, request Request) []uint64 {
 	all := request.all()
+	var blamed []uint64
+	if slices.ContainsFunc(all, func(key uint64) bool { return c.heavy[key] != nil }) {
+		blamed = c.blamedKeys(now)
+	}
 	for _, key := range all {
-		r := c.lookup(now, key)
-		if r == nil || !c.enough(now, r) || c.dominated(now, key) {
+		if _, found := slices.BinarySearch(blamed, key); !found {
 			continue
 		}
 		equals := c.equals(now, key)
@@ -81,17 +123,6 @@
 	return nil
 }
 
-// dominated reports whether another key with the strikes to be blamed was in flight at
-// all crashes of a key and at more: then that one explains them.
-func (c *Containment) dominated(now time.Time, key uint64) bool {
-	r := c.records[key]
-	until := c.settled(now, r)
-	return slices.ContainsFunc(c.companions(key), func(other uint64) bool {
-		o := c.lookup(now, other)
-		return o != nil && o.includes(r, until) && !r.includes(o, until) && c.enough(now, o)
-	})
-}
-
 // equals returns the keys that were in flight at the same crashes as a key, itself
 // included, in ascending order.
 func (c *Containment) equals(now time.Time, key uint64) []uint64 {
--- a/internal/containment/containment.go
+++ b/internal/containment/containment.go
@@ -8,13 +8,13 @@
 // each upstream that begins to respond can't have been among them.
 //
 // A key with MaxStrikes strikes, or one more if it has recently been in a whole response,
-// is blamed, unless another key was in flight at all these crashes and at more. Keys that
-// were in flight at the same crashes can't be told apart: only a request that has all of
-// them is refused; one that has only some of them runs, and shows which it is. A request
-// is refused for RefusalTime if its content is blamed. A refusal for what it shares with
-// others, which may be wrong, begins with FirstRefusal and grows with each
-// further crash up to RefusalTime. After it, one request in the whole fleet may run as a
-// probe (see probe.go).
+// is blamed. Crashes at which a blamed key with more strikes was in flight don't count for
+// it: that one explains them. Keys that were in flight at the same crashes can't be told
+// apart: only a request that has all of them is refused; one that has only some of them
+// runs, and shows which it is. A request is refused for RefusalTime if its content is
+// blamed. A refusal for what it shares with others, which may be wrong, begins with
+// FirstRefusal and grows with each further crash up to RefusalTime. After it, one request
+// in the whole fleet may run as a probe (see probe.go).
 //
 // A request with a strike on its fingerprint, or one strike short of a refusal, is a
 // suspect. An upstream runs one suspect at a time, so that a crash can be attributed to
@@ -291,12 +291,5 @@
 
 // BlamedStrikes returns the strikes of the blamed keys, each with its age.
 func (c *Containment) BlamedStrikes(now time.Time) []*peerpb.Strike {
-	var keys []uint64
-	for key := range c.heavy {
-		if r := c.lookup(now, key); r != nil && c.enough(now, r) && !c.dominated(now, key) {
-			keys = append(keys, key)
-		}
-	}
-	slices.Sort(keys)
-	return c.export(now, keys, MaxBlamedStrikes)
+	return c.export(now, c.blamedKeys(now), MaxBlamedStrikes)
 }
--- a/internal/containment/record.go
+++ b/internal/containment/record.go
@@ -36,16 +36,30 @@
 	return count
 }
 
-// distinct returns the number of crashes up to a time that count. Those of shared keys
-// that are simultaneous count once, those long before the others don't count unless they
-// were enough for a refusal.
-func (c *Containment) distinct(r *record, until time.Time) int {
-	times := make([]time.Time, 0, len(r.crashes))
-	for _, s := range r.crashes {
+// counting returns the IDs of the crashes up to a time that count.
+func (r *record) counting(until time.Time) []uint64 {
+	crashIDs := make([]uint64, 0, len(r.crashes))
+	for crashID, s := range r.crashes {
 		if s.counts && !s.at.After(until) {
-			times = append(times, s.at)
+			crashIDs = append(crashIDs, crashID)
 		}
 	}
+	return crashIDs
+}
+
+// distinct returns the number of crashes up to a time that count, as distinctOf.
+func (c *Containment) distinct(r *record, until time.Time) int {
+	return c.distinctOf(r, r.counting(until))
+}
+
+// distinctOf returns the number of some of a key's crashes. Those of shared keys that are
+// simultaneous count once, those long before the others don't count unless they were
+// enough for a refusal.
+func (c *Containment) distinctOf(r *record, crashIDs []uint64) int {
+	times := make([]time.Time, 0, len(crashIDs))
+	for _, crashID := range crashIDs {
+		times = append(times, r.crashes[crashID].at)
+	}
 	slices.SortFunc(times, time.Time.Compare)
 	count := 0
 	var last time.Time
@@ -63,12 +77,7 @@
 // includes reports whether all crashes up to a time that count for another record count
 // for this one.
 func (r *record) includes(other *record, until time.Time) bool {
-	for crashID, s := range other.crashes {
-		if s.counts && !s.at.After(until) && !r.crashes[crashID].counts {
-			return false
-		}
-	}
-	return true
+	return !slices.ContainsFunc(other.counting(until), func(crashID uint64) bool { return !r.crashes[crashID].counts })
 }
 
 // strike adds a strike to a key unless it is known, and reports whether it did.
--- a/internal/containment/shared_test.go
+++ b/internal/containment/shared_test.go
@@ -373,6 +373,39 @@
 	}
 }
 
+// A key that was in flight at four crashes is not blamed if another one explains three of
+// them, although the fourth happened without that one, or the report of it was lost.
+func TestKeyWithoutCrashesOfItsOwnIsNotBlamed(t *testing.T) {
+	const culprit, bystander, third = 1, 2, 3
+	at := []time.Duration{0, time.Second, 2 * time.Second, 3 * time.Second, 4 * time.Second, 5 * time.Second}
+	c := New(DefaultSettings())
+	now := strikesAt(c, at, []uint64{bystander}, []uint64{culprit, bystander}, []uint64{culprit, bystander},
+		[]uint64{culprit, bystander}, []uint64{culprit}, []uint64{culprit})
+	if v := c.Check(now, Request{Fingerprint: 10, Keys: []uint64{bystander}}); v.Kind == Refused {
+		t.Errorf("the bystander: %+v", v)
+	}
+	if v := c.Check(now, Request{Fingerprint: 11, Keys: []uint64{culprit, third}}); v.Kind != Refused {
+		t.Errorf("the culprit: %+v", v)
+	}
+}
+
+// A key with three crashes that no other one explains is blamed beside a stronger one.
+func TestSecondCulpritIsBlamedForItsOwnCrashes(t *testing.T) {
+	const first, second = 1, 2
+	var at []time.Duration
+	for n := range 8 {
+		at = append(at, time.Duration(n)*time.Second)
+	}
+	c := New(DefaultSettings())
+	now := strikesAt(c, at, []uint64{first}, []uint64{first}, []uint64{first}, []uint64{first}, []uint64{first, second},
+		[]uint64{second}, []uint64{second}, []uint64{second})
+	for _, key := range []uint64{first, second} {
+		if v := c.Check(now, Request{Fingerprint: 10, Keys: []uint64{key}}); v.Kind != Refused {
+			t.Errorf("culprit %d: %+v", key, v)
+		}
+	}
+}
+
 // The loss of a failure domain ends many engines at one moment: what was in flight on all
 // of them is not refused.
 func TestSimultaneousCrashesAreOneStrike(t *testing.T) {
