Rate limits that engines name are decoded, recorded and logged

Change: the platform's codec decodes the limit of a response; the registry keeps the latest statement of each run of an instance; a line tells when a limit becomes known, changes or ends, another one a limit that can't be decoded, with a counter. Placement doesn't use it yet.

--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -126,4 +126,10 @@
 	// InvalidPause is what the instance sent in place of a valid pause, empty
 	// otherwise. Pause then holds the bound that applies, or zero.
 	InvalidPause string
+	// RateLimit is how many calls a second the instance takes from all routers together,
+	// nil if it names no limit.
+	RateLimit *float64
+	// InvalidRateLimit is what the instance sent in place of a valid limit, empty
+	// otherwise.
+	InvalidRateLimit string
 }
--- a/internal/dispatch/balancer.go
+++ b/internal/dispatch/balancer.go
@@ -67,6 +67,8 @@
 	idByHash map[uint32]string
 	// recentParts are the prompt parts to report in digests.
 	recentParts []recentPart
+	// invalidLimits are the last rate limits of instances that can't be decoded, by ID.
+	invalidLimits map[string]string
 	// broken are the calls whose instances may have crashed and restarted.
 	broken []brokenCall
 
@@ -96,7 +98,7 @@
 		options: o, registry: registry, loads: loadshare.New(), prefixIndex: placement.NewPrefixIndex(),
 		baselines: newLatencyBaselines(),
 		windows:   make(map[string]*retry.Window), containment: containment.New(o.Containment), routers: 1,
-		idByHash: make(map[uint32]string), overload: make(map[string]*overload.Service),
+		idByHash: make(map[uint32]string), invalidLimits: make(map[string]string), overload: make(map[string]*overload.Service),
 		strikes:    metrics.GetOrRegisterCounter("containment.strikes", o.Registry),
 		acquittals: metrics.GetOrRegisterCounter("containment.acquittals", o.Registry),
 	}
--- a/internal/dispatch/metrics.go
+++ b/internal/dispatch/metrics.go
@@ -21,6 +21,8 @@
 	total     metrics.Histogram
 	// invalidPauses counts responses whose pause can't be decoded or is too long.
 	invalidPauses metrics.Counter
+	// invalidRateLimits counts responses whose rate limit can't be decoded.
+	invalidRateLimits metrics.Counter
 }
 
 func newCallMetrics(registry metrics.Registry) *callMetrics {
@@ -34,7 +36,8 @@
 		firstByte: histogram("calls.first_byte.microseconds"),
 		total:     histogram("calls.whole.microseconds"),
 
-		invalidPauses: metrics.GetOrRegisterCounter("sends.invalid_pause", registry),
+		invalidPauses:     metrics.GetOrRegisterCounter("sends.invalid_pause", registry),
+		invalidRateLimits: metrics.GetOrRegisterCounter("sends.invalid_rate_limit", registry),
 	}
 }
 
--- a/internal/dispatch/send.go
+++ b/internal/dispatch/send.go
@@ -166,7 +166,11 @@
 			"applied_ms": e.reply.Pause.Milliseconds(),
 		})
 	}
+	if e.reply.InvalidRateLimit != "" {
+		d.metrics.invalidRateLimits.Inc(1)
+	}
 	d.options.Balancer.recordReply(e.pick, e.reply)
+	d.options.Balancer.recordRateLimit(e.pick, e.run.call.ID, e.startedAt, e.reply)
 }
 
 // forward classifies the response by its head and forwards it.
--- a/internal/instances/instances.go
+++ b/internal/instances/instances.go
@@ -56,6 +56,9 @@
 	// missing for a while.
 	departures map[string]departure
 	pauses     map[string]pause
+	// rateLimits are the latest statements of instances on how many calls they take, by
+	// ID.
+	rateLimits map[string]rateLimit
 	// lastResortPeriod is how long an instance that leaves may take work that no
 	// other one can take.
 	lastResortPeriod time.Duration
@@ -67,7 +70,7 @@
 func New() *Registry {
 	return &Registry{
 		entries: make(map[string]*entry), services: make(map[string][]*entry), departures: make(map[string]departure),
-		pauses: make(map[string]pause), peerFaults: make(map[string]peerReport),
+		pauses: make(map[string]pause), rateLimits: make(map[string]rateLimit), peerFaults: make(map[string]peerReport),
 	}
 }
 
@@ -182,6 +185,7 @@
 	var changes []Change
 	r.findOutliers(now)
 	r.forgetStatements(now)
+	r.forgetRateLimits(now)
 	for _, id := range r.ids() {
 		e := r.entries[id]
 		if e.missing {
