One router decides on all sends to engines that name a rate limit

Cause: the limit was read by nothing. A limited engine answers as before, so that its load looks normal, and its cached prompt parts draw calls to it from all routers. A limit kept by each router alone would not do either: 79 routers share 1.3 requests a second, less than one for each of them in 4 s.

Change: for each service the first live router in rendezvous order decides for the whole fleet (internal/ratelimit). Each send to an instance with a limit needs its permit: first sends, retries and resumed streams alike, right before the send. A permit is for a point in time, at the pace of the limit, with a quarter of a second saved at most. A router that takes over begins with nothing saved. If the first router doesn't answer, the next two are asked; they pass the request on to the first, which may only be unreachable from the sender. A permit that is used late, by a process that was paused, is not used. Statements go to all routers with their age at the origin; the newest wins. Only a signed response to the call itself ends a limit. Surplus goes to instances without a limit, which may fetch the cached parts from the limited one. If there are none, any instance of the service with a permit will do, calls wait for a permit up to a quarter of their objective, fair among workspaces, and are rejected at once otherwise.

--- a/internal/dispatch/balancer.go
+++ b/internal/dispatch/balancer.go
@@ -19,6 +19,7 @@
 	"github.com/verbenatrail/verbenatrail/internal/overload"
 	"github.com/verbenatrail/verbenatrail/internal/peerpb"
 	"github.com/verbenatrail/verbenatrail/internal/placement"
+	"github.com/verbenatrail/verbenatrail/internal/ratelimit"
 	"github.com/verbenatrail/verbenatrail/internal/retry"
 )
 
@@ -69,6 +70,13 @@
 	recentParts []recentPart
 	// invalidLimits are the last rate limits of instances that can't be decoded, by ID.
 	invalidLimits map[string]string
+	// exhausted is until when no permit for instances with a rate limit is due, by ID.
+	exhausted map[string]time.Time
+	// allocators decide on the permits of services for the whole fleet, by service.
+	allocators map[string]*ratelimit.Allocator
+	// limitShare is the part of each rate limit that this router shares out.
+	limitShare float64
+	limitNews  limitNews
 	// broken are the calls whose instances may have crashed and restarted.
 	broken []brokenCall
 
@@ -98,7 +106,8 @@
 		options: o, registry: registry, loads: loadshare.New(), prefixIndex: placement.NewPrefixIndex(),
 		baselines: newLatencyBaselines(),
 		windows:   make(map[string]*retry.Window), containment: containment.New(o.Containment), routers: 1,
-		idByHash: make(map[uint32]string), invalidLimits: make(map[string]string), overload: make(map[string]*overload.Service),
+		idByHash: make(map[uint32]string), invalidLimits: make(map[string]string), limitShare: 1,
+		exhausted: make(map[string]time.Time), allocators: make(map[string]*ratelimit.Allocator), overload: make(map[string]*overload.Service),
 		strikes:    metrics.GetOrRegisterCounter("containment.strikes", o.Registry),
 		acquittals: metrics.GetOrRegisterCounter("containment.acquittals", o.Registry),
 	}
@@ -126,6 +135,11 @@
 	candidates int
 	// oldestLoadAge is the age of the oldest peer report in the load estimates.
 	oldestLoadAge time.Duration
+	// permitRequest is what the pick needs a permit for before the call is sent, nil if
+	// the instance has no rate limit.
+	permitRequest *peerpb.PermitRequest
+	// permitEnd is until when the permit may be used, zero if none is needed.
+	permitEnd time.Time
 }
 
 // target is what a call is to be placed at.
@@ -137,11 +151,17 @@
 	objective time.Duration
 	// timeLeft is the time that the caller waited at most when the call arrived.
 	timeLeft time.Duration
+	// deadline is when the call must be answered.
+	deadline time.Time
+	// avoidLimited is set if no instance with a rate limit is to be picked while there is
+	// another one.
+	avoidLimited bool
 }
 
-// choose picks an instance and adds the call to its load. It returns nil if no
-// instance can take the call, and the decision that rejects it if the service is
-// short of places. The caller must call done after the attempt.
+// choose picks an instance and adds the call to its load, unless the pick needs a permit:
+// usePermit adds it then. It returns nil if no instance can take the call, and the
+// decision that rejects it if the service is short of places. The caller must call done
+// after the attempt.
 func (b *Balancer) choose(c *call.Call, t target, excluded []string) (*pick, *overload.Decision) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -150,20 +170,38 @@
 	if len(candidates) == 0 {
 		return nil, nil
 	}
-	var p *pick
-	if len(c.Prompt.Parts) > 0 {
-		p = b.chooseByPrompt(now, c, t.service, candidates)
-	} else {
-		p = b.chooseByLoad(now, c, candidates)
+	s := b.selectInstances(now, t, candidates)
+	p := b.place(now, c, t.service, s)
+	if len(c.Prompt.Parts) == 0 {
 		if d := b.decideOverload(now, c, t, p); !d.Admitted {
 			return nil, &d
 		}
 	}
+	if b.registry.RateLimit(p.instance) > 0 {
+		p.permitRequest = b.newPermitRequest(now, c, t, p, s, excluded)
+		return p, nil
+	}
+	b.begin(now, p)
+	return p, nil
+}
+
+// place picks one of the selected instances.
+func (b *Balancer) place(now time.Time, c *call.Call, service string, s selection) *pick {
+	var p *pick
+	if len(c.Prompt.Parts) > 0 {
+		p = b.chooseByPrompt(now, c, service, s)
+	} else {
+		p = b.chooseByLoad(now, c, s.candidates)
+	}
 	p.loadAtReply = p.load
-	p.candidates, p.oldestLoadAge = len(candidates), b.loads.OldestPeerAge(now)
+	p.candidates, p.oldestLoadAge = len(s.candidates), b.loads.OldestPeerAge(now)
+	return p
+}
+
+// begin adds the call of a pick to the load of its instance.
+func (b *Balancer) begin(now time.Time, p *pick) {
 	b.loads.Begin(p.instance.ID, p.prefillTokens)
 	b.recordExpectedParts(now, p)
-	return p, nil
 }
 
 // recordExpectedParts records that an instance is about to cache a prompt's
@@ -179,15 +217,18 @@
 	b.options.OnDigestChange()
 }
 
-func (b *Balancer) chooseByPrompt(now time.Time, c *call.Call, service string, candidates []instances.Candidate) *pick {
-	shared := c.Prompt.Shared()
-	parts := make([]placement.PromptPart, 0, len(shared))
-	for _, part := range shared {
+// promptParts returns the shared parts of a call's prompt, and their hashes.
+func promptParts(c *call.Call) (parts []placement.PromptPart, hashes []uint64) {
+	for _, part := range c.Prompt.Shared() {
 		parts = append(parts, placement.PromptPart{ID: part.ID, Tokens: part.Tokens})
 	}
-	hashes := placement.PartHashes(c.Prompt.Model, parts)
-	draining := b.registry.Draining(now, service)
-	scored := make([]placement.PromptCandidate, 0, len(candidates)+len(draining))
+	return parts, placement.PartHashes(c.Prompt.Model, parts)
+}
+
+func (b *Balancer) chooseByPrompt(now time.Time, c *call.Call, service string, s selection) *pick {
+	parts, hashes := promptParts(c)
+	candidates, sources := s.candidates, append(b.registry.Draining(now, service), s.sources...)
+	scored := make([]placement.PromptCandidate, 0, len(candidates)+len(sources))
 	for _, candidate := range candidates {
 		load := b.loads.Load(now, candidate.ID)
 		scored = append(scored, placement.PromptCandidate{
@@ -196,7 +237,7 @@
 			Degraded:    candidate.State == instances.Degraded, Distance: b.options.Location.DistanceTo(candidate.Location),
 		})
 	}
-	for _, i := range draining {
+	for _, i := range sources {
 		scored = append(scored, placement.PromptCandidate{
 			Name: i.ID, CachedParts: b.prefixIndex.CachedParts(now, i.ID, hashes), SourceOnly: true,
 		})
@@ -209,7 +250,7 @@
 	}
 	switch {
 	case choice.Source >= len(candidates):
-		p.fetchFrom = draining[choice.Source-len(candidates)].Address
+		p.fetchFrom = sources[choice.Source-len(candidates)].Address
 	case choice.Source >= 0:
 		p.fetchFrom = candidates[choice.Source].Address
 	}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -48,7 +48,10 @@
 type Options struct {
 	Balancer *Balancer
 	Pool     *upstream.Pool
-	Codec    Codec
+	// Permits decides on sends to instances with a rate limit; nil means that Balancer
+	// decides alone.
+	Permits Permits
+	Codec   Codec
 	// Table returns the current routing table, or nil before the first
 	// configuration.
 	Table func() *routing.Table
@@ -68,6 +71,9 @@
 
 // New returns a Dispatcher.
 func New(o Options) *Dispatcher {
+	if o.Permits == nil {
+		o.Permits = o.Balancer
+	}
 	return &Dispatcher{options: o, metrics: newCallMetrics(o.Registry)}
 }
 
--- a/internal/dispatch/metrics.go
+++ b/internal/dispatch/metrics.go
@@ -23,6 +23,8 @@
 	invalidPauses metrics.Counter
 	// invalidRateLimits counts responses whose rate limit can't be decoded.
 	invalidRateLimits metrics.Counter
+	// expiredPermits counts permits that were not used in time.
+	expiredPermits metrics.Counter
 }
 
 func newCallMetrics(registry metrics.Registry) *callMetrics {
@@ -38,6 +40,7 @@
 
 		invalidPauses:     metrics.GetOrRegisterCounter("sends.invalid_pause", registry),
 		invalidRateLimits: metrics.GetOrRegisterCounter("sends.invalid_rate_limit", registry),
+		expiredPermits:    metrics.GetOrRegisterCounter("permits.expired", registry),
 	}
 }
 
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -50,6 +50,9 @@
 	// outcome is how the call ended, for logs and metrics.
 	outcome string
 	status  int
+	// permitNext is the time until a permit is due for a call that is rejected for lack of
+	// one, zero otherwise.
+	permitNext time.Duration
 	// refusal is what the caller got instead of a response.
 	refusal *refusal.Refusal
 
@@ -126,6 +129,7 @@
 	}
 	return target{
 		service: r.service, workspace: r.workspaceName(), objective: r.route.Objective, timeLeft: timeLeft,
+		deadline: r.deadline,
 	}
 }
 
@@ -140,13 +144,8 @@
 			r.refuseContained(v)
 			return
 		}
-		p, rejected := b.choose(r.call, r.target(), r.excluded)
-		if rejected != nil {
-			r.reject(rejected)
-			return
-		}
+		p := r.place()
 		if p == nil {
-			r.noInstance()
 			return
 		}
 		r.logPlaced(p)
@@ -288,6 +287,10 @@
 		return refusal.New(refusal.Overloaded, "all instances of the service want no calls for a while: send the call again after the pause").
 			WithRetryAfter(left + rand.N(max(left/pauseSpread, minPauseSpread)))
 	}
+	if r.permitNext > 0 {
+		return refusal.New(refusal.Overloaded, "the rate limits of all instances of the service are used up: send the call again after the pause").
+			WithRetryAfter(max(r.permitNext, overload.ReturnAfter(overloadCall(r.call, r.target()))))
+	}
 	if s.result == instances.Shed {
 		return refusal.New(refusal.Overloaded, "the service is full: send the call again after the pause").
 			WithRetryAfter(overload.ReturnAfter(overloadCall(r.call, r.target())))
--- a/internal/dispatch/send.go
+++ b/internal/dispatch/send.go
@@ -69,6 +69,11 @@
 		}
 		return failedAttempt(attempt.Unsent, result, err.Error())
 	}
+	if !p.permitEnd.IsZero() && !time.Now().Before(p.permitEnd) {
+		r.dispatcher.metrics.expiredPermits.Inc(1)
+		options.Pool.Release(conn, 0)
+		return failedAttempt(attempt.Unsent, instances.Late, "the permit to send expired before the connection was open")
+	}
 	e := &exchange{run: r, pick: p, conn: conn, startedAt: time.Now()}
 	s := e.exchange(ctx)
 	e.report(&s)
--- a/internal/dispatch/state.go
+++ b/internal/dispatch/state.go
@@ -126,6 +126,7 @@
 		if change.State == instances.Gone {
 			delete(b.idByHash, loadshare.Hash(change.Instance.ID))
 			delete(b.invalidLimits, change.Instance.ID)
+			delete(b.exhausted, change.Instance.ID)
 		}
 	}
 }
--- a/internal/edge/config_test.go
+++ b/internal/edge/config_test.go
@@ -16,6 +16,7 @@
 	"github.com/verbenatrail/verbenatrail/internal/decisionlog"
 	"github.com/verbenatrail/verbenatrail/internal/kv"
 	"github.com/verbenatrail/verbenatrail/internal/mirror"
+	"github.com/verbenatrail/verbenatrail/internal/peering"
 	"github.com/verbenatrail/verbenatrail/internal/routing"
 )
 
@@ -59,7 +60,7 @@
 	t.Cleanup(func() {
 		cancel()
 		// Closes the listener, since the context has ended.
-		_ = e.link.ServeState(ctx, nil)
+		_ = e.link.Serve(ctx, peering.Handlers{})
 	})
 	return newControl(ctx, e)
 }
--- a/internal/edge/control.go
+++ b/internal/edge/control.go
@@ -132,12 +132,14 @@
 	c.edge.link.SendDigest(to, c.digest(now), c.takeNews())
 }
 
-// takeNews returns the next messages about crashes.
+// takeNews returns the next messages about crashes and rate limits.
 func (c *control) takeNews() peering.News {
 	routers := c.members.RouterCount()
 	return peering.News{
 		Strikes: c.news.TakeStrikes(strikesPerDigest, routers, c.edge.balancer.BlamedStrikes),
 		Trials:  c.news.TakeTrials(trialsPerDigest, routers),
+
+		RateLimits: c.edge.balancer.RateLimitNews(),
 	}
 }
 
@@ -202,6 +204,16 @@
 	live := c.members.Live()
 	c.edge.routers.Store(&live)
 	c.edge.balancer.SetFleet(c.rank(live), c.members.RouterCount(), c.members.CoverageTime())
+	c.edge.balancer.SetLimitShare(limitShare(len(live)+1, c.members.ExpectedCount()))
+}
+
+// limitShare returns the part of each rate limit that the live routers share out. If they
+// are the smaller part of the fleet, the others may be running behind a partition.
+func limitShare(live, expected int) float64 {
+	if 2*live >= expected {
+		return 1
+	}
+	return float64(live) / float64(expected)
 }
 
 // rank returns the number of other live routers whose names are before this one's.
--- a/internal/edge/datagram_test.go
+++ b/internal/edge/datagram_test.go
@@ -9,6 +9,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/verbenatrail/verbenatrail/internal/instances"
+	"github.com/verbenatrail/verbenatrail/internal/loadshare"
 	"github.com/verbenatrail/verbenatrail/internal/peering"
 	"github.com/verbenatrail/verbenatrail/internal/peerpb"
 )
@@ -35,19 +36,21 @@
 	c.edge.balancer.SetInstances(listed)
 	const strikes = 200
 	for i := range strikes {
-		c.handleNews(now, "other", peering.News{
+		c.handleNews(now, peering.Received{Router: peering.Router{Name: "other"}, News: peering.News{
 			Strikes: []*peerpb.Strike{{
 				Fingerprint: uint64(i + 1), Upstream: listed[i].ID, CrashId: uint64(1000 + i), Keys: manyNumbers(i, 24),
 			}},
-			Trials: []*peerpb.Trial{{Keys: manyNumbers(1000+i, 25), CrashIds: manyNumbers(2000+i, 24)}},
-		})
+			Trials:     []*peerpb.Trial{{Keys: manyNumbers(1000+i, 25), CrashIds: manyNumbers(2000+i, 24)}},
+			RateLimits: []*peerpb.RateLimit{{Instance: loadshare.Hash(listed[i].ID), PerSecond: 1.1, AgeMs: 1 << 30}},
+		}})
 	}
 	buffer := make([]byte, 1<<16)
-	sent := map[uint64]bool{}
+	sent, limits := map[uint64]bool{}, map[uint32]bool{}
 	largest := 0
 	for range strikes {
 		c.send(now, c.members.PeerAddresses())
-		for news := false; !news; {
+		// Messages that don't fit into the digest follow it.
+		for crashes, rateLimits := false, false; !crashes || !rateLimits; {
 			n := readDatagram(t, other, buffer)
 			largest = max(largest, n)
 			d := &peerpb.Datagram{}
@@ -57,8 +60,10 @@
 			for _, strike := range d.GetStrikes() {
 				sent[strike.GetFingerprint()] = true
 			}
-			// Messages that don't fit into the digest follow it.
-			news = len(d.GetStrikes()) > 0
+			for _, l := range d.GetRateLimits() {
+				limits[l.GetInstance()] = true
+			}
+			crashes, rateLimits = crashes || len(d.GetStrikes()) > 0, rateLimits || len(d.GetRateLimits()) > 0
 		}
 	}
 	t.Logf("the largest datagram has %d bytes", largest)
@@ -68,6 +73,9 @@
 	if len(sent) != strikes {
 		t.Errorf("%d of %d strikes were sent", len(sent), strikes)
 	}
+	if len(limits) != len(listed) {
+		t.Errorf("%d of %d rate limits were sent", len(limits), len(listed))
+	}
 }
 
 func readDatagram(t *testing.T, conn *net.UDPConn, buffer []byte) int {
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -50,6 +50,7 @@
 	pool     *upstream.Pool
 	callers  *ingress.Server
 	link     *peering.Link
+	permits  *permits
 
 	settings atomic.Pointer[Settings]
 
@@ -104,8 +105,9 @@
 	})
 	e.pool = upstream.NewPool(o.Registry)
 	share := settings.memory() / bufferShare
+	e.permits = newPermits(e)
 	dispatcher := dispatch.New(dispatch.Options{
-		Balancer: e.balancer, Pool: e.pool, Codec: o.Codec, Table: e.table.Load, Outage: e.outage.Load,
+		Balancer: e.balancer, Pool: e.pool, Permits: e.permits, Codec: o.Codec, Table: e.table.Load, Outage: e.outage.Load,
 		Buffers: memquota.New(share), Log: o.Log, Registry: o.Registry,
 	})
 	e.callers = ingress.New(ingress.Options{
@@ -177,7 +179,7 @@
 	group.Go(func() error {
 		return e.link.Receive(ctx, func(r peering.Received) { e.post(digestReceived{received: r}) })
 	})
-	group.Go(func() error { return e.link.ServeState(ctx, e.stateFor) })
+	group.Go(func() error { return e.link.Serve(ctx, peering.Handlers{State: e.stateFor, Permit: e.permits.Decide}) })
 	group.Go(func() error { return e.pool.Run(ctx) })
 	group.Go(func() error { return e.callers.Run(ctx) })
 }
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -14,7 +14,7 @@
 type digestReceived struct{ received peering.Received }
 
 func (d digestReceived) apply(c *control, now time.Time) {
-	c.handleNews(now, d.received.Router.Name, d.received.News)
+	c.handleNews(now, d.received)
 	if d.received.State != nil {
 		c.handleState(now, d.received)
 		return
@@ -56,8 +56,11 @@
 	go c.edge.fetch(r.Router, &peerpb.StateRequest{})
 }
 
-// handleNews applies strikes and trials, and queues the new ones for other routers.
-func (c *control) handleNews(now time.Time, router string, n peering.News) {
+// handleNews applies strikes, trials and rate limits, and queues the new strikes and
+// trials for other routers.
+func (c *control) handleNews(now time.Time, r peering.Received) {
+	router, n := r.Router.Name, r.News
+	c.edge.balancer.ApplyRateLimits(router, n.RateLimits, c.members.Delay(now, r.Router))
 	c.applyStrikes(now, router, n.Strikes)
 	for _, trial := range n.Trials {
 		// A repeated report must not count as another trial.
--- a/internal/instances/instances.go
+++ b/internal/instances/instances.go
@@ -289,6 +289,15 @@
 	return !ok || e.removed || e.instance.Draining || r.departing(e.instance)
 }
 
+// Instance returns the instance with an ID; false if it isn't known.
+func (r *Registry) Instance(id string) (Instance, bool) {
+	e, ok := r.entries[id]
+	if !ok {
+		return Instance{}, false
+	}
+	return e.instance, true
+}
+
 // HasSuccessor reports whether an instance has been started at the same address since:
 // the same one again, or another.
 func (r *Registry) HasSuccessor(i Instance) bool {
--- a/internal/instances/ratelimits.go
+++ b/internal/instances/ratelimits.go
@@ -65,12 +65,7 @@
 }
 
 // RateLimit returns the rate limit of an instance, zero if it has none.
-func (r *Registry) RateLimit(i Instance) float64 {
-	if s, ok := r.rateLimits[i.ID]; ok && s.StartedAt.Equal(i.StartedAt) {
-		return s.Rate
-	}
-	return 0
-}
+func (r *Registry) RateLimit(i Instance) float64 { return r.Statement(i).Rate }
 
 // RateLimits returns the known statements, the latest changes first, and how many of them
 // have changed since a point in time.
@@ -97,3 +92,12 @@
 		return now.Sub(s.At) >= departureLifetime
 	})
 }
+
+// Statement returns the latest statement of an instance, with a rate of zero if it has
+// never named a limit.
+func (r *Registry) Statement(i Instance) RateLimit {
+	if s, ok := r.rateLimits[i.ID]; ok && s.StartedAt.Equal(i.StartedAt) {
+		return s.RateLimit
+	}
+	return RateLimit{ID: i.ID, StartedAt: i.StartedAt}
+}
--- a/internal/overload/overload.go
+++ b/internal/overload/overload.go
@@ -26,9 +26,9 @@
 	// work off its queue. The rest covers long calls, and calls that are placed
 	// before the routers know of each other's.
 	queueShare = 1.0 / 3
-	// protectedFactor is the queue for calls of workspaces within their fair share while
+	// ProtectedFactor is the queue for calls of workspaces within their fair share while
 	// others are beyond theirs, relative to that for all calls while none is.
-	protectedFactor = 1.3
+	ProtectedFactor = 1.3
 	// serviceTimeWeight is the weight of a new sample in the mean time that an
 	// instance works on a call.
 	serviceTimeWeight = 0.1
@@ -78,12 +78,12 @@
 	// answers.
 	serviceTime time.Duration
 	answers     int
-	shares      *shares
+	shares      *Shares
 }
 
 // NewService returns the state of a service that has had no calls.
 func NewService() *Service {
-	return &Service{shares: newShares()}
+	return &Service{shares: NewShares()}
 }
 
 // RecordAnswer records that an instance with a number of slots answered a call after
@@ -106,14 +106,14 @@
 // and calls.
 func (s *Service) Decide(now time.Time, c Call, load, slots int) Decision {
 	d := Decision{Load: load, ServiceTime: s.serviceTime}
-	s.shares.recordDemand(now, c.Workspace)
+	s.shares.RecordDemand(now, c.Workspace)
 	if load >= slots {
-		d.Share = s.shares.classify(now, c.Workspace, c.Random)
+		d.Share = s.shares.Classify(now, c.Workspace, c.Random)
 	}
 	d.Limit = s.limit(c, d, slots)
 	d.Admitted = load < d.Limit
 	if d.Admitted {
-		s.shares.recordAdmitted(now)
+		s.shares.RecordAdmitted(now)
 		return d
 	}
 	d.RetryAfter = ReturnAfter(c)
@@ -130,7 +130,7 @@
 	}
 	limit := float64(slots) * queueShare * float64(c.Objective) / float64(s.serviceTime)
 	if d.Share == Protected {
-		limit *= protectedFactor
+		limit *= ProtectedFactor
 	}
 	return max(int(limit), slots+1)
 }
--- a/internal/overload/overload_test.go
+++ b/internal/overload/overload_test.go
@@ -190,14 +190,14 @@
 }
 
 func TestMaxMinFairShare(t *testing.T) {
-	s := newShares()
+	s := NewShares()
 	for workspace, calls := range map[string]int{"a": 1, "b": 3, "c": 16} {
 		for range calls {
-			s.recordDemand(start, workspace)
+			s.RecordDemand(start, workspace)
 		}
 	}
 	for range 10 {
-		s.recordAdmitted(start)
+		s.RecordAdmitted(start)
 	}
 	if fair, highest := s.fairShare(); fair != 6 || highest != 16 {
 		t.Errorf("fair share %v of a demand of at most %v, want 6 and 16", fair, highest)
--- a/internal/overload/shares.go
+++ b/internal/overload/shares.go
@@ -19,29 +19,32 @@
 	forgetCount = 0.01
 )
 
-// shares are the decayed numbers of calls of each workspace, and of all calls that
-// were admitted.
-type shares struct {
+// Shares are the decayed numbers of calls of each workspace, and of all calls that
+// were admitted. They aren't safe for concurrent use.
+type Shares struct {
 	demand   map[string]float64
 	total    float64
 	admitted float64
 	updated  time.Time
 }
 
-func newShares() *shares { return &shares{demand: make(map[string]float64)} }
+// NewShares returns shares without calls.
+func NewShares() *Shares { return &Shares{demand: make(map[string]float64)} }
 
-func (s *shares) recordDemand(now time.Time, workspace string) {
+// RecordDemand counts a call of a workspace.
+func (s *Shares) RecordDemand(now time.Time, workspace string) {
 	s.decay(now)
 	s.demand[workspace]++
 	s.total++
 }
 
-func (s *shares) recordAdmitted(now time.Time) {
+// RecordAdmitted counts a call that is admitted.
+func (s *Shares) RecordAdmitted(now time.Time) {
 	s.decay(now)
 	s.admitted++
 }
 
-func (s *shares) decay(now time.Time) {
+func (s *Shares) decay(now time.Time) {
 	elapsed := now.Sub(s.updated)
 	if s.updated.IsZero() || elapsed <= 0 {
 		s.updated = now
@@ -75,9 +78,9 @@
 // String returns the share as it appears in logs.
 func (s Share) String() string { return [...]string{"even", "protected", "surplus"}[s] }
 
-// classify returns the share of a call. Random decides which calls of a workspace
+// Classify returns the share of a call. Random decides which calls of a workspace
 // beyond its fair share are surplus.
-func (s *shares) classify(now time.Time, workspace string, random float64) Share {
+func (s *Shares) Classify(now time.Time, workspace string, random float64) Share {
 	s.decay(now)
 	if s.admitted >= s.total {
 		return Even
@@ -99,7 +102,7 @@
 
 // fairShare returns the highest number of calls of any workspace if all that are
 // admitted are divided by max-min fairness, and the highest demand.
-func (s *shares) fairShare() (fair, highest float64) {
+func (s *Shares) fairShare() (fair, highest float64) {
 	demands := make([]float64, 0, len(s.demand))
 	for _, demand := range s.demand {
 		demands = append(demands, demand)
--- a/internal/peering/link.go
+++ b/internal/peering/link.go
@@ -80,20 +80,32 @@
 	}, nil
 }
 
-// News are the messages about crashes that go with a digest.
+// News are the messages about crashes and rate limits that go with a digest.
 type News struct {
-	Strikes []*peerpb.Strike
-	Trials  []*peerpb.Trial
+	Strikes    []*peerpb.Strike
+	Trials     []*peerpb.Trial
+	RateLimits []*peerpb.RateLimit
 }
 
-// SendDigest sends a digest with news to the given addresses, the news in a datagram of
+func (n News) empty() bool { return len(n.Strikes)+len(n.Trials)+len(n.RateLimits) == 0 }
+
+// split returns the messages about crashes, and those about rate limits.
+func (n News) split() []News {
+	return []News{{Strikes: n.Strikes, Trials: n.Trials}, {RateLimits: n.RateLimits}}
+}
+
+// datagram returns a datagram with the news and without a body.
+func (n News) datagram() *peerpb.Datagram {
+	return &peerpb.Datagram{Strikes: n.Strikes, Trials: n.Trials, RateLimits: n.RateLimits}
+}
+
+// SendDigest sends a digest with news to the given addresses, the news in datagrams of
 // their own if they don't fit into the digest's. Delivery is not guaranteed; send
 // failures are counted.
 func (l *Link) SendDigest(to []string, d *peerpb.Digest, n News) {
-	message := &peerpb.Datagram{
-		Strikes: n.Strikes, Trials: n.Trials, Body: &peerpb.Datagram_Digest{Digest: d},
-	}
-	if proto.Size(message) <= maxDatagramBytes-senderIDBytes || len(n.Strikes)+len(n.Trials) == 0 {
+	message := n.datagram()
+	message.Body = &peerpb.Datagram_Digest{Digest: d}
+	if proto.Size(message) <= maxDatagramBytes-senderIDBytes || n.empty() {
 		l.send(to, message)
 		return
 	}
@@ -102,9 +114,13 @@
 		Revision: d.GetStateRevision(), FromRevision: d.GetStateRevision(), ChangedRevision: d.GetChangedRevision(),
 		Era: d.GetEra(), FromEra: d.GetEra(),
 	}
-	l.send(to, &peerpb.Datagram{
-		Strikes: n.Strikes, Trials: n.Trials, Body: &peerpb.Datagram_State{State: unchanged},
-	})
+	for _, part := range n.split() {
+		if !part.empty() {
+			message := part.datagram()
+			message.Body = &peerpb.Datagram_State{State: unchanged}
+			l.send(to, message)
+		}
+	}
 }
 
 // SendState sends changes of the records to the given addresses. It returns false
@@ -169,7 +185,7 @@
 	if err := proto.Unmarshal(data, d); err != nil || d.GetFrom() == "" {
 		return Received{}, false
 	}
-	news := News{Strikes: d.GetStrikes(), Trials: d.GetTrials()}
+	news := News{Strikes: d.GetStrikes(), Trials: d.GetTrials(), RateLimits: d.GetRateLimits()}
 	if state := d.GetState(); state != nil {
 		if !validEras(state) {
 			return Received{}, false
--- a/internal/peering/memberlist.go
+++ b/internal/peering/memberlist.go
@@ -203,6 +203,18 @@
 // behind a network partition and spending from the budgets.
 func (l *MemberList) RouterCount() int { return len(l.members) + 1 }
 
+// ExpectedCount returns the number of routers that have not announced that they leave,
+// including this one and the silent ones.
+func (l *MemberList) ExpectedCount() int {
+	expected := 1
+	for _, m := range l.members {
+		if !m.router.Leaving {
+			expected++
+		}
+	}
+	return expected
+}
+
 // Targets returns the peer addresses for the next round: up to Fanout members, in
 // a random order that covers all members before it repeats, and up to Fanout
 // listed addresses that no member has.
--- a/internal/peering/state.go
+++ b/internal/peering/state.go
@@ -62,38 +62,53 @@
 // CloseIdle closes connections that were not used recently.
 func (l *Link) CloseIdle(now time.Time) { l.pool.CloseIdle(now) }
 
-// ServeState serves FetchState requests of other routers until the context ends.
-func (l *Link) ServeState(ctx context.Context, state func(*peerpb.StateRequest) *peerpb.StateResponse) error {
+// Handlers serve the requests of other routers.
+type Handlers struct {
+	// State returns the response to a FetchState request.
+	State func(*peerpb.StateRequest) *peerpb.StateResponse
+	// Permit returns the response to an AskPermit request.
+	Permit func(context.Context, *peerpb.PermitRequest) *peerpb.PermitResponse
+}
+
+// Serve serves the requests of other routers until the context ends.
+func (l *Link) Serve(ctx context.Context, h Handlers) error {
 	defer l.pool.Close()
-	return peer.NewServer(l.listener, &stateHandler{state: state, failed: l.failed, refused: l.refused}).Run(ctx)
+	return peer.NewServer(l.listener, &streamHandler{Handlers: h, failed: l.failed, refused: l.refused}).Run(ctx)
 }
 
-type stateHandler struct {
-	state      func(*peerpb.StateRequest) *peerpb.StateResponse
+type streamHandler struct {
+	Handlers
 	inProgress atomic.Int32
 	failed     metrics.Counter
 	refused    metrics.Counter
 }
 
 // ServeStream implements peer.Handler.
-func (h *stateHandler) ServeStream(_ context.Context, header *peerpb.StreamHeader, stream *peer.Stream) {
-	request := header.GetState()
-	if request == nil {
+func (h *streamHandler) ServeStream(ctx context.Context, header *peerpb.StreamHeader, stream *peer.Stream) {
+	var response proto.Message
+	switch {
+	case header.GetState() != nil:
+		defer h.inProgress.Add(-1)
+		response = h.serveState(header.GetState())
+	case header.GetPermit() != nil:
+		response = h.Permit(ctx, header.GetPermit())
+	default:
 		h.failed.Inc(1)
 		return
 	}
-	defer h.inProgress.Add(-1)
-	response := &peerpb.StateResponse{Busy: true}
-	if h.inProgress.Add(1) <= maxConcurrentTransfers {
-		response = compress(h.state(request))
-	} else {
-		h.refused.Inc(1)
-	}
 	if err := stream.Send(response); err != nil {
 		h.failed.Inc(1)
 	}
 }
 
+func (h *streamHandler) serveState(request *peerpb.StateRequest) *peerpb.StateResponse {
+	if h.inProgress.Add(1) > maxConcurrentTransfers {
+		h.refused.Inc(1)
+		return &peerpb.StateResponse{Busy: true}
+	}
+	return compress(h.State(request))
+}
+
 // compress compresses a response that exceeds compressThreshold. It returns others
 // unchanged.
 func compress(response *peerpb.StateResponse) *peerpb.StateResponse {
