Calls beyond the room of engines without a limit wait for a permit

Cause: an instance with a used up limit was left out while any other could be reached, whatever its load.

Change: while instances have a limit, a call with a prompt goes to one without only if that has a free slot, a plain call if the overload decision admits it. Else any instance with a permit will do, with the longer wait, and without one the call is rejected at once. A call asks for a permit at one instance before it goes to those without a limit. An instance saves one permit at least, so that chance in the arrivals leaves less of a low limit unused.

--- a/internal/dispatch/balancer.go
+++ b/internal/dispatch/balancer.go
@@ -171,11 +171,14 @@
 		return nil, nil
 	}
 	s := b.selectInstances(now, t, candidates)
-	p := b.place(now, c, t.service, s)
-	if len(c.Prompt.Parts) == 0 {
-		if d := b.decideOverload(now, c, t, p); !d.Admitted {
-			return nil, &d
-		}
+	p, rejected := b.placeAdmitted(now, c, t, s)
+	if rejected != nil && len(s.limited) > 0 && !s.last {
+		// What exceeds the room of the others waits for a permit.
+		s = s.onlyLimited()
+		p, rejected = b.placeAdmitted(now, c, t, s)
+	}
+	if rejected != nil {
+		return nil, rejected
 	}
 	if b.registry.RateLimit(p.instance) > 0 {
 		p.permitRequest = b.newPermitRequest(now, c, t, p, s, excluded)
@@ -185,6 +188,23 @@
 	return p, nil
 }
 
+// placeAdmitted picks one of the selected instances. It returns the decision that rejects
+// the call if they are short of places; that of calls with a prompt only counts while
+// others have a rate limit.
+func (b *Balancer) placeAdmitted(now time.Time, c *call.Call, t target, s selection) (*pick, *overload.Decision) {
+	p := b.place(now, c, t.service, s)
+	if len(c.Prompt.Parts) > 0 {
+		if len(s.limited) > 0 && !s.last && b.crowded(now, s) {
+			return nil, &overload.Decision{Load: p.load, Limit: p.instance.Slots}
+		}
+		return p, nil
+	}
+	if d := b.decideOverload(now, c, t, p); !d.Admitted {
+		return nil, &d
+	}
+	return p, nil
+}
+
 // place picks one of the selected instances.
 func (b *Balancer) place(now time.Time, c *call.Call, service string, s selection) *pick {
 	var p *pick
--- a/internal/dispatch/permit.go
+++ b/internal/dispatch/permit.go
@@ -50,29 +50,52 @@
 	candidates []instances.Candidate
 	// sources take no call now; cached prompt parts can be fetched from them.
 	sources []instances.Instance
-	// last is set if all candidates have a rate limit.
+	// limited and unlimited are all that could take the call, with and without a rate limit.
+	limited, unlimited []instances.Candidate
+	// last is set if only those with a rate limit are left.
 	last bool
 }
 
 // selectInstances leaves out the instances whose rate limit is used up for the moment,
 // unless there are no others.
 func (b *Balancer) selectInstances(now time.Time, t target, all []instances.Candidate) selection {
-	s := selection{last: true}
+	var s selection
 	for _, c := range all {
-		limited := b.registry.RateLimit(c.Instance) > 0
-		if limited && (t.avoidLimited || now.Before(b.exhausted[c.ID])) {
+		if b.registry.RateLimit(c.Instance) == 0 {
+			s.unlimited = append(s.unlimited, c)
+			s.candidates = append(s.candidates, c)
+			continue
+		}
+		s.limited = append(s.limited, c)
+		if t.avoidLimited || now.Before(b.exhausted[c.ID]) {
 			s.sources = append(s.sources, c.Instance)
 			continue
 		}
-		s.last = s.last && limited
 		s.candidates = append(s.candidates, c)
 	}
-	if s.last {
-		return selection{candidates: all, last: true}
+	if len(s.unlimited) == 0 {
+		return s.onlyLimited()
 	}
 	return s
 }
 
+// onlyLimited returns the selection of the instances with a rate limit.
+func (s selection) onlyLimited() selection {
+	out := selection{candidates: s.limited, limited: s.limited, last: true}
+	for _, c := range s.unlimited {
+		out.sources = append(out.sources, c.Instance)
+	}
+	return out
+}
+
+// crowded reports whether all instances without a rate limit run as many calls as they
+// have slots.
+func (b *Balancer) crowded(now time.Time, s selection) bool {
+	return !slices.ContainsFunc(s.unlimited, func(c instances.Candidate) bool {
+		return c.Slots <= 0 || b.loads.Load(now, c.ID).Calls < c.Slots
+	})
+}
+
 // newPermitRequest returns the request for the permit that a pick needs.
 func (b *Balancer) newPermitRequest(now time.Time, c *call.Call, t target, p *pick, s selection, excluded []string) *peerpb.PermitRequest {
 	r := &peerpb.PermitRequest{
@@ -279,8 +302,8 @@
 }
 
 // maxDenials is the number of permits that a call is denied before it avoids instances
-// with a rate limit.
-const maxDenials = 3
+// with a rate limit, or is rejected if there are no others.
+const maxDenials = 1
 
 // place returns the instance for the next attempt, nil if the call has ended.
 func (r *run) place() *pick {
--- a/internal/ratelimit/ratelimit.go
+++ b/internal/ratelimit/ratelimit.go
@@ -6,7 +6,7 @@
 // Guarantees, for the permits of one Allocator:
 //
 //   - In any span of T seconds, the sends to an instance with a limit of L calls a second
-//     are at most L x T + 1 + BurstTime x L, by the times for which they were permitted.
+//     are at most L x T + 1 + max(1, BurstTime x L), by the times for which they were permitted.
 //   - A new Allocator, and a new instance, begin with no saved permits, so that a router
 //     that takes over the decision repeats nothing that the one before has granted.
 //   - A call is denied only if no permit is due within its wait, or if its workspace is
@@ -20,7 +20,7 @@
 )
 
 const (
-	// BurstTime is the time whose unused permits an instance saves, beside a single one.
+	// BurstTime is the time whose unused permits an instance saves, one at least.
 	BurstTime = 250 * time.Millisecond
 	// preferredWaitDivisor sets the part of the longest wait, a quarter, within which the
 	// permit of an instance with a higher preference is awaited.
--- a/internal/ratelimit/schedule.go
+++ b/internal/ratelimit/schedule.go
@@ -13,9 +13,12 @@
 // interval returns the time between two permits.
 func interval(rate float64) time.Duration { return time.Duration(float64(time.Second) / rate) }
 
+// tolerance returns how far ahead of full a permit may be used: what an instance saves.
+func tolerance(rate float64) time.Duration { return max(BurstTime, interval(rate)) }
+
 // newSchedule returns a schedule whose first permit is due after one interval.
 func newSchedule(now time.Time, rate float64) *schedule {
-	return &schedule{full: now.Add(interval(rate) + BurstTime), rate: rate}
+	return &schedule{full: now.Add(interval(rate) + tolerance(rate)), rate: rate}
 }
 
 // setRate changes the rate. What is still to be paid for is scaled, so that a schedule
@@ -32,7 +35,7 @@
 
 // due returns the time until the next permit may be used.
 func (s *schedule) due(now time.Time) time.Duration {
-	return max(s.full.Add(-BurstTime).Sub(now), 0)
+	return max(s.full.Add(-tolerance(s.rate)).Sub(now), 0)
 }
 
 // take grants a permit for a point in time.
