A permit's time counts from the request for it

Engines would have seen: a send on a permit that had run out, by a process that was paused while the response to its request was on the way.

Cause: the permit's end was computed when the response was read.

Change: it counts from the moment of the request, on the clock that counts suspensions of the host. An expired permit isn't used; the call asks again.

Measured: TestPausedProcessAsksForAnotherPermit failed before (one permit, one send 550 ms later) and passes.

--- a/internal/dispatch/balancer.go
+++ b/internal/dispatch/balancer.go
@@ -138,7 +138,8 @@
 	// permitRequest is what the pick needs a permit for before the call is sent, nil if
 	// the instance has no rate limit.
 	permitRequest *peerpb.PermitRequest
-	// permitEnd is until when the permit may be used, zero if none is needed.
+	// permitEnd is until when the permit may be used, by package boottime; zero if none is
+	// needed.
 	permitEnd time.Time
 }
 
--- a/internal/dispatch/permit.go
+++ b/internal/dispatch/permit.go
@@ -7,6 +7,7 @@
 
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/verbenatrail/verbenatrail/internal/boottime"
 	"github.com/verbenatrail/verbenatrail/internal/call"
 	"github.com/verbenatrail/verbenatrail/internal/decisionlog"
 	"github.com/verbenatrail/verbenatrail/internal/instances"
@@ -167,7 +168,6 @@
 	if granted == nil {
 		b.exhausted[p.instance.ID] = now.Add(max(micros(response.GetNextUs()), minExhausted))
 	} else {
-		granted.permitEnd = now.Add(micros(response.GetWaitUs()) + permitLifetime)
 		b.begin(now, granted)
 	}
 	b.mu.Unlock()
@@ -339,20 +339,21 @@
 // no pick if the permit is denied, or couldn't be used in time.
 func (r *run) acquirePermit(p *pick) (*pick, *peerpb.PermitResponse) {
 	b := r.dispatcher.options.Balancer
-	askedAt := time.Now()
+	askedAt := boottime.Now()
 	response := r.dispatcher.options.Permits.Acquire(r.ctx, p.permitRequest)
 	permitted := b.usePermit(r.call, r.service, p, response)
 	r.dispatcher.options.Log.Decision("permit decided", decisionlog.Fields{
 		"call": r.call.ID, "service": r.service, "instance": p.instance.ID, "per_s": p.permitRequest.GetPreferred()[0].GetPerSecond(),
 		"limit_age_ms": p.permitRequest.GetPreferred()[0].GetAgeMs(), "granted": permitted != nil, "last": p.permitRequest.GetLast(),
 		"wait_us": response.GetWaitUs(), "max_wait_us": response.GetMaxWaitUs(), "next_us": response.GetNextUs(),
-		"share": response.GetShare(), "decided_by": response.GetDecidedBy(), "took_us": time.Since(askedAt).Microseconds(),
+		"share": response.GetShare(), "decided_by": response.GetDecidedBy(), "took_us": boottime.Now().Sub(askedAt).Microseconds(),
 	})
 	if permitted == nil {
 		return nil, response
 	}
-	err := pause.For(r.ctx, micros(response.GetWaitUs()))
-	if err == nil && time.Now().Before(permitted.permitEnd) {
+	wait := micros(response.GetWaitUs())
+	permitted.permitEnd = askedAt.Add(wait + permitLifetime)
+	if err := pause.For(r.ctx, wait); err == nil && !permitted.permitExpired() {
 		return permitted, response
 	}
 	r.dispatcher.metrics.expiredPermits.Inc(1)
@@ -361,6 +362,12 @@
 	return nil, response
 }
 
+// permitExpired reports whether the call of a pick can't be sent any more. The permit's
+// time counts from the request for it: the process may have been paused since.
+func (p *pick) permitExpired() bool {
+	return !p.permitEnd.IsZero() && !boottime.Now().Before(p.permitEnd)
+}
+
 // rejectLimited ends a call for which no permit is due in time.
 func (r *run) rejectLimited(p *pick, response *peerpb.PermitResponse) {
 	r.permitNext = max(micros(response.GetNextUs()), minExhausted)
--- a/internal/dispatch/send.go
+++ b/internal/dispatch/send.go
@@ -69,7 +69,7 @@
 		}
 		return failedAttempt(attempt.Unsent, result, err.Error())
 	}
-	if !p.permitEnd.IsZero() && !time.Now().Before(p.permitEnd) {
+	if p.permitExpired() {
 		r.dispatcher.metrics.expiredPermits.Inc(1)
 		options.Pool.Release(conn, 0)
 		return failedAttempt(attempt.Unsent, instances.Late, "the permit to send expired before the connection was open")
