While others name a limit, engines without one get what they begin to answer in time

Cause: an engine without a limit counted as having room up to its slots. Calls that bring prompts to read slow each other down long before that.

Change: each router keeps, for each instance, the number of calls at which responses with prompts begin within half of their objective: less by a fifth when one begins later or the instance is full, more by one when they begin early while it is in use. While instances of a service have a limit, those without one take calls with a prompt up to that number.

--- a/internal/dispatch/balancer.go
+++ b/internal/dispatch/balancer.go
@@ -72,6 +72,8 @@
 	invalidLimits map[string]string
 	// exhausted is until when no permit for instances with a rate limit is due, by ID.
 	exhausted map[string]time.Time
+	// concurrency is how many calls with a prompt instances begin to answer in time, by ID.
+	concurrency map[string]*overload.Concurrency
 	// allocators decide on the permits of services for the whole fleet, by service.
 	allocators map[string]*ratelimit.Allocator
 	// limitShare is the part of each rate limit that this router shares out.
@@ -107,7 +109,7 @@
 		baselines: newLatencyBaselines(),
 		windows:   make(map[string]*retry.Window), containment: containment.New(o.Containment), routers: 1,
 		idByHash: make(map[uint32]string), invalidLimits: make(map[string]string), limitShare: 1,
-		exhausted: make(map[string]time.Time), allocators: make(map[string]*ratelimit.Allocator), overload: make(map[string]*overload.Service),
+		exhausted: make(map[string]time.Time), concurrency: make(map[string]*overload.Concurrency), allocators: make(map[string]*ratelimit.Allocator), overload: make(map[string]*overload.Service),
 		strikes:    metrics.GetOrRegisterCounter("containment.strikes", o.Registry),
 		acquittals: metrics.GetOrRegisterCounter("containment.acquittals", o.Registry),
 	}
@@ -171,7 +173,7 @@
 	if len(candidates) == 0 {
 		return nil, nil
 	}
-	s := b.selectInstances(now, t, candidates)
+	s := b.selectInstances(now, c, t, candidates)
 	p, rejected := b.placeAdmitted(now, c, t, s)
 	if rejected != nil && len(s.limited) > 0 && !s.last {
 		// What exceeds the room of the others waits for a permit.
@@ -190,14 +192,10 @@
 }
 
 // placeAdmitted picks one of the selected instances. It returns the decision that rejects
-// the call if they are short of places; that of calls with a prompt only counts while
-// others have a rate limit.
+// a plain call if they are short of places.
 func (b *Balancer) placeAdmitted(now time.Time, c *call.Call, t target, s selection) (*pick, *overload.Decision) {
 	p := b.place(now, c, t.service, s)
 	if len(c.Prompt.Parts) > 0 {
-		if len(s.limited) > 0 && !s.last && b.crowded(now, s) {
-			return nil, &overload.Decision{Load: p.load, Limit: p.instance.Slots}
-		}
 		return p, nil
 	}
 	if d := b.decideOverload(now, c, t, p); !d.Admitted {
--- a/internal/dispatch/feedback.go
+++ b/internal/dispatch/feedback.go
@@ -5,6 +5,7 @@
 
 	"github.com/verbenatrail/verbenatrail/internal/call"
 	"github.com/verbenatrail/verbenatrail/internal/instances"
+	"github.com/verbenatrail/verbenatrail/internal/overload"
 	"github.com/verbenatrail/verbenatrail/internal/retry"
 	"github.com/verbenatrail/verbenatrail/internal/routing"
 )
@@ -26,6 +27,22 @@
 	b.logChanges(changes)
 }
 
+// recordConcurrency records when the response to a call with a prompt began, or zero if
+// the instance had no room for it.
+func (b *Balancer) recordConcurrency(p *pick, objective, firstByte time.Duration) {
+	if len(p.parts) == 0 {
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	c, ok := b.concurrency[p.instance.ID]
+	if !ok {
+		c = &overload.Concurrency{}
+		b.concurrency[p.instance.ID] = c
+	}
+	c.RecordFirstByte(b.options.Now(), firstByte, objective, p.loadAtReply, p.instance.Slots)
+}
+
 // recordReply records what an instance says of itself in a response.
 func (b *Balancer) recordReply(p *pick, reply call.Reply) {
 	b.mu.Lock()
--- a/internal/dispatch/permit.go
+++ b/internal/dispatch/permit.go
@@ -57,29 +57,43 @@
 	last bool
 }
 
-// selectInstances leaves out the instances whose rate limit is used up for the moment,
-// unless there are no others.
-func (b *Balancer) selectInstances(now time.Time, t target, all []instances.Candidate) selection {
+// selectInstances leaves out the instances whose rate limit is used up for the moment and,
+// while others have a limit, those without one that have no room for a prompt. If none is
+// left without a limit, all that have one are selected.
+func (b *Balancer) selectInstances(now time.Time, c *call.Call, t target, all []instances.Candidate) selection {
 	var s selection
-	for _, c := range all {
-		if b.registry.RateLimit(c.Instance) == 0 {
-			s.unlimited = append(s.unlimited, c)
-			s.candidates = append(s.candidates, c)
-			continue
-		}
-		s.limited = append(s.limited, c)
-		if t.avoidLimited || now.Before(b.exhausted[c.ID]) {
-			s.sources = append(s.sources, c.Instance)
-			continue
+	for _, candidate := range all {
+		if b.registry.RateLimit(candidate.Instance) > 0 {
+			s.limited = append(s.limited, candidate)
+		} else {
+			s.unlimited = append(s.unlimited, candidate)
 		}
-		s.candidates = append(s.candidates, c)
 	}
-	if len(s.unlimited) == 0 {
+	if len(s.limited) == 0 {
+		s.candidates = all
+		return s
+	}
+	for _, candidate := range s.unlimited {
+		s.add(candidate, len(c.Prompt.Parts) == 0 || b.hasRoom(now, candidate))
+	}
+	if len(s.candidates) == 0 {
 		return s.onlyLimited()
 	}
+	for _, candidate := range s.limited {
+		s.add(candidate, !t.avoidLimited && !now.Before(b.exhausted[candidate.ID]))
+	}
 	return s
 }
 
+// add adds an instance that takes the call now, or as a source of cached parts only.
+func (s *selection) add(c instances.Candidate, takes bool) {
+	if takes {
+		s.candidates = append(s.candidates, c)
+		return
+	}
+	s.sources = append(s.sources, c.Instance)
+}
+
 // onlyLimited returns the selection of the instances with a rate limit.
 func (s selection) onlyLimited() selection {
 	out := selection{candidates: s.limited, limited: s.limited, last: true}
@@ -89,12 +103,9 @@
 	return out
 }
 
-// crowded reports whether all instances without a rate limit run as many calls as they
-// have slots.
-func (b *Balancer) crowded(now time.Time, s selection) bool {
-	return !slices.ContainsFunc(s.unlimited, func(c instances.Candidate) bool {
-		return c.Slots <= 0 || b.loads.Load(now, c.ID).Calls < c.Slots
-	})
+// hasRoom reports whether an instance has fewer calls than it begins to answer in time.
+func (b *Balancer) hasRoom(now time.Time, c instances.Candidate) bool {
+	return c.Slots <= 0 || b.loads.Load(now, c.ID).Calls < b.concurrency[c.ID].Limit(c.Slots)
 }
 
 // newPermitRequest returns the request for the permit that a pick needs.
--- a/internal/dispatch/send.go
+++ b/internal/dispatch/send.go
@@ -273,6 +273,9 @@
 		took = e.firstByte.Sub(e.startedAt)
 		e.run.dispatcher.metrics.firstByte.Update(microseconds(took))
 	}
+	if took > 0 || s.result == instances.Shed {
+		b.recordConcurrency(e.pick, e.run.route.Objective, took)
+	}
 	if e.pick.prefillTokens > 0 {
 		// The time depends on the prefill, so it is no measure of the instance's
 		// speed.
--- a/internal/dispatch/state.go
+++ b/internal/dispatch/state.go
@@ -127,6 +127,7 @@
 			delete(b.idByHash, loadshare.Hash(change.Instance.ID))
 			delete(b.invalidLimits, change.Instance.ID)
 			delete(b.exhausted, change.Instance.ID)
+			delete(b.concurrency, change.Instance.ID)
 		}
 	}
 }
