--- a/internal/dispatch/permit.go
+++ b/internal/dispatch/permit.go
@@ -244,7 +244,7 @@
 			response.Granted, response.Instance = true, asked.GetInstance()
 			return response
 		}
-		request.Preferred = append(request.Preferred, b.sharedLimit(known))
+		request.Preferred = append(request.Preferred, b.sharedLimit(known.GetInstance(), known.GetStartedMs(), known.GetPerSecond()))
 	}
 	if r.GetLast() {
 		request.Others = b.otherLimits(now, r)
@@ -268,22 +268,23 @@
 
 // otherLimits returns the limits of the other instances of a service.
 func (b *Balancer) otherLimits(now time.Time, r *peerpb.PermitRequest) []ratelimit.Limit {
+	named := slices.Clone(r.GetExcluded())
+	for _, l := range r.GetPreferred() {
+		named = append(named, l.GetInstance())
+	}
 	var out []ratelimit.Limit
 	for _, c := range b.registry.Candidates(now, r.GetService(), nil) {
-		hash := loadshare.Hash(c.ID)
-		preferred := slices.ContainsFunc(r.GetPreferred(), func(l *peerpb.RateLimit) bool { return l.GetInstance() == hash })
-		if statement := b.registry.Statement(c.Instance); statement.Rate > 0 && !preferred && !slices.Contains(r.GetExcluded(), hash) {
-			out = append(out, b.sharedLimit(encodeLimit(now, statement)))
+		rate, hash := b.registry.RateLimit(c.Instance), loadshare.Hash(c.ID)
+		if rate > 0 && !slices.Contains(named, hash) {
+			out = append(out, b.sharedLimit(hash, startMillis(c.StartedAt), rate))
 		}
 	}
 	return out
 }
 
-// sharedLimit returns the part of a limit that this router shares out.
-func (b *Balancer) sharedLimit(l *peerpb.RateLimit) ratelimit.Limit {
-	return ratelimit.Limit{
-		Instance: l.GetInstance(), StartedMS: l.GetStartedMs(), Rate: max(l.GetPerSecond(), instances.MinRateLimit) * b.limitShare,
-	}
+// sharedLimit returns the part of an instance's limit that this router shares out.
+func (b *Balancer) sharedLimit(instance uint32, startedMS int64, rate float64) ratelimit.Limit {
+	return ratelimit.Limit{Instance: instance, StartedMS: startedMS, Rate: max(rate, instances.MinRateLimit) * b.limitShare}
 }
 
 func (b *Balancer) allocator(service string) *ratelimit.Allocator {
