A router's answer to a request for a permit is bounded

Callers would have seen: calls that wait for up to 71 minutes, and engines that get nothing for as long, after one malformed or foreign answer of a router.

Cause: the wait and the time until the next permit were taken as they came.

Change: a permit whose wait is more than twice the longest in its request is not used; an engine is asked for again after 5 s at the latest, the interval of the lowest limit.

--- a/internal/dispatch/permit.go
+++ b/internal/dispatch/permit.go
@@ -28,8 +28,14 @@
 	lastWaitDivisor      = 4
 	otherWaitDivisor     = 4
 	defaultPermitWait    = 100 * time.Millisecond
-	minExhausted         = 10 * time.Millisecond
 	unreachablePermitGap = 250 * time.Millisecond
+	// minExhausted and maxExhausted bound the time for which an instance gets no requests for
+	// permits after one was denied. The latter is the interval of the lowest rate limit.
+	minExhausted = 10 * time.Millisecond
+	maxExhausted = 5 * time.Second
+	// maxWaitFactor bounds the wait of a permit, relative to the longest in its request: the
+	// router that decides lets some calls wait longer.
+	maxWaitFactor = 2
 	// permitLifetime is how long after its time a permit may be used. It covers the opening
 	// of a connection; a process that was paused for longer has to ask again.
 	permitLifetime = 500 * time.Millisecond
@@ -177,7 +183,7 @@
 	changes := b.setRateLimits(now, response.GetLimits())
 	granted := b.permittedPick(now, c, service, p, response)
 	if granted == nil {
-		b.exhausted[p.instance.ID] = now.Add(max(micros(response.GetNextUs()), minExhausted))
+		b.exhausted[p.instance.ID] = now.Add(min(max(micros(response.GetNextUs()), minExhausted), maxExhausted))
 	} else {
 		b.begin(now, granted)
 	}
@@ -189,7 +195,8 @@
 // permittedPick returns the pick that a permit is for, nil if there is none. The caller
 // holds the lock.
 func (b *Balancer) permittedPick(now time.Time, c *call.Call, service string, p *pick, response *peerpb.PermitResponse) *pick {
-	if !response.GetGranted() {
+	longest := maxWaitFactor * micros(p.permitRequest.GetMaxWaitUs())
+	if !response.GetGranted() || micros(response.GetWaitUs()) > longest {
 		return nil
 	}
 	if loadshare.Hash(p.instance.ID) == response.GetInstance() {
@@ -382,7 +389,7 @@
 
 // rejectLimited ends a call for which no permit is due in time.
 func (r *run) rejectLimited(p *pick, response *peerpb.PermitResponse) {
-	r.permitNext = max(micros(response.GetNextUs()), minExhausted)
+	r.permitNext = min(max(micros(response.GetNextUs()), minExhausted), maxExhausted)
 	r.dispatcher.options.Log.Decision("rate limits used up", decisionlog.Fields{
 		"call": r.call.ID, "route": r.route.Name, "service": r.service, "workspace": r.workspaceName(),
 		"instance": p.instance.ID, "candidates": p.candidates, "max_wait_us": response.GetMaxWaitUs(), "next_us": response.GetNextUs(),
--- a/internal/dispatch/ratelimit_test.go
+++ b/internal/dispatch/ratelimit_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/rcrowley/go-metrics"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/verbenatrail/verbenatrail/internal/call"
 	"github.com/verbenatrail/verbenatrail/internal/instances"
@@ -216,3 +217,44 @@
 		t.Errorf("asked for %d permits, %d sends, status %d; want 2 permits for one send", permits.asked, sends, caller.status)
 	}
 }
+
+// Whatever another router sends, a request is decided, and a response makes no call wait
+// beyond twice its time and keeps no engine out of use for longer than maxExhausted.
+func FuzzPermitMessages(f *testing.F) {
+	request := &peerpb.PermitRequest{Service: "model", Last: true, MaxWaitUs: 1000, Preferred: []*peerpb.RateLimit{{PerSecond: 1}}}
+	encodedRequest, err := proto.Marshal(request)
+	if err != nil {
+		f.Fatal(err)
+	}
+	encodedResponse, err := proto.Marshal(&peerpb.PermitResponse{Granted: true, Instance: loadshare.Hash("e-000"), WaitUs: math.MaxUint32, NextUs: math.MaxUint32})
+	if err != nil {
+		f.Fatal(err)
+	}
+	denied, err := proto.Marshal(&peerpb.PermitResponse{NextUs: math.MaxUint32})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(encodedRequest, encodedResponse)
+	f.Add(encodedRequest, denied)
+	f.Fuzz(func(t *testing.T, asked, answered []byte) {
+		b, _ := limited(2, 3)
+		request, response := &peerpb.PermitRequest{}, &peerpb.PermitResponse{}
+		if proto.Unmarshal(asked, request) != nil || proto.Unmarshal(answered, response) != nil {
+			return
+		}
+		b.DecidePermit("other", request)
+		p, _ := b.choose(prompt("p"), target{service: "model", objective: time.Second, deadline: b.now.Add(time.Minute)}, []string{"e-001"})
+		if p == nil || p.permitRequest == nil {
+			return
+		}
+		longest := maxWaitFactor * micros(p.permitRequest.GetMaxWaitUs())
+		if granted := b.usePermit(prompt("p"), "model", p, response); granted != nil && micros(response.GetWaitUs()) > longest {
+			t.Errorf("a call waits for %v, its longest wait is %v", micros(response.GetWaitUs()), longest)
+		}
+		for id, until := range b.exhausted {
+			if until.After(b.now.Add(maxExhausted)) {
+				t.Errorf("%s is not used for %v", id, until.Sub(b.now))
+			}
+		}
+	})
+}
