Keys that tie are not blamed for the crashes that they share

Cause: all routers were killed, and with them the report that the fatal part was in flight at a crash at that moment. The fatal part and a sound one then had four crashes each and shared three; with as many strikes, neither explained the other's, and both were blamed.

Change: shared keys with as many crashes, but at others too, don't count those that they share, unless they have enough without them. The next crash shows which one it is.

Measured: TestTiedKeysAreNotBlamedForSharedCrashes failed before (both refused) and passes, as do the package's simulation and the tests of platform with fatal parts.

--- a/internal/containment/blame.go
+++ b/internal/containment/blame.go
@@ -43,13 +43,17 @@
 
 // blamedKeys returns the keys that are blamed, in ascending order. A key is blamed if it
 // has the strikes for it at crashes that no blamed key with more strikes was in flight at:
-// such a key explains the crashes that they share.
+// such a key explains the crashes that they share. Shared keys with as many strikes, but at
+// other crashes too, may each explain what they share: it counts for neither.
 func (c *Containment) blamedKeys(now time.Time) []uint64 {
 	var keys []uint64
 	// explained maps crashes to the highest number of strikes of a blamed key in flight.
 	explained := make(map[uint64]int)
-	for _, s := range c.strongest(now) {
-		own := slices.DeleteFunc(slices.Clone(s.crashes), func(crashID uint64) bool { return explained[crashID] > len(s.crashes) })
+	suspects := c.strongest(now)
+	for _, s := range suspects {
+		own := slices.DeleteFunc(slices.Clone(s.crashes), func(crashID uint64) bool {
+			return explained[crashID] > len(s.crashes) || s.tiedAt(crashID, suspects)
+		})
 		if c.distinctOf(s.record, own) < c.needed(s.record) {
 			continue
 		}
@@ -68,6 +72,15 @@
 	crashes []uint64
 }
 
+// tiedAt reports whether another suspect with as many crashes, of which some are others,
+// was in flight at a crash. Only shared keys are tied.
+func (s suspectedKey) tiedAt(crashID uint64, suspects []suspectedKey) bool {
+	return s.record.shared && slices.ContainsFunc(suspects, func(o suspectedKey) bool {
+		return len(o.crashes) == len(s.crashes) && slices.Contains(o.crashes, crashID) &&
+			slices.ContainsFunc(o.crashes, func(other uint64) bool { return !slices.Contains(s.crashes, other) })
+	})
+}
+
 // strongest returns the keys with the strikes to be blamed, those with the most first.
 func (c *Containment) strongest(now time.Time) []suspectedKey {
 	var suspects []suspectedKey
--- a/internal/containment/shared_test.go
+++ b/internal/containment/shared_test.go
@@ -389,6 +389,29 @@
 	}
 }
 
+// Two keys share three of their four crashes: the report of the culprit's first crash was
+// lost with its router. Neither is blamed until one more crash shows which it is.
+func TestTiedKeysAreNotBlamedForSharedCrashes(t *testing.T) {
+	const culprit, bystander = 1, 2
+	at := []time.Duration{0, time.Second, 2 * time.Second, 3 * time.Second, 4 * time.Second, 5 * time.Second}
+	both := []uint64{culprit, bystander}
+	c := New(DefaultSettings())
+	now := strikesAt(c, at[:5], []uint64{bystander}, []uint64{culprit}, both, both, both)
+	for _, key := range both {
+		if v := c.Check(now, Request{Fingerprint: 10, Keys: []uint64{key}}); v.Kind == Refused {
+			t.Errorf("key %d: %+v", key, v)
+		}
+	}
+	c.Merge(start.Add(at[5]), &peerpb.Strike{CrashId: 6, Keys: []uint64{culprit}})
+	now = start.Add(at[5] + defaultSpreadTime)
+	if v := c.Check(now, Request{Fingerprint: 10, Keys: []uint64{bystander}}); v.Kind == Refused {
+		t.Errorf("the bystander: %+v", v)
+	}
+	if v := c.Check(now, Request{Fingerprint: 11, Keys: []uint64{culprit}}); v.Kind != Refused {
+		t.Errorf("the culprit: %+v", v)
+	}
+}
+
 // A key with three crashes that no other one explains is blamed beside a stronger one.
 func TestSecondCulpritIsBlamedForItsOwnCrashes(t *testing.T) {
 	const first, second = 1, 2
