--- a/internal/dispatch/allocate.go
+++ b/internal/dispatch/allocate.go
@@ -30,6 +30,7 @@
 	return response
 }
 
+// decidePermit decides on a request. The caller holds the lock.
 func (b *Balancer) decidePermit(now time.Time, r *peerpb.PermitRequest) *peerpb.PermitResponse {
 	response := &peerpb.PermitResponse{}
 	request := ratelimit.Request{Last: r.GetLast(), MaxWait: micros(r.GetMaxWaitUs()), Workspace: r.GetWorkspace(), Random: r.GetRandom()}
@@ -89,6 +90,7 @@
 	return ratelimit.Limit{Instance: instance, StartedMS: startedMS, Rate: max(rate, instances.MinRateLimit) * b.limitShare}
 }
 
+// allocator returns what decides on the permits of a service.
 func (b *Balancer) allocator(service string) *ratelimit.Allocator {
 	a, ok := b.allocators[service]
 	if !ok {
--- a/internal/dispatch/permit.go
+++ b/internal/dispatch/permit.go
@@ -16,13 +16,15 @@
 	// maxPreferred bounds the instances in one request for a permit, so that it fits in one
 	// packet.
 	maxPreferred = 8
-	// lastWaitDivisor sets the part of the objective, a quarter, for which a call waits for
-	// a permit if no instance without a rate limit takes it. If there is one, it waits for
-	// a part of that.
-	lastWaitDivisor      = 4
-	otherWaitDivisor     = 4
-	defaultPermitWait    = 100 * time.Millisecond
-	unreachablePermitGap = 250 * time.Millisecond
+	// lastWaitDivisor sets the part of the objective, and of the time left, for which a call
+	// waits for a permit if no instance without a rate limit takes it: a quarter. If there
+	// is one, otherWaitDivisor sets the part of that.
+	lastWaitDivisor  = 4
+	otherWaitDivisor = 4
+	// defaultPermitWait is the wait of calls without an objective.
+	defaultPermitWait = 100 * time.Millisecond
+	// undecidedRetry is the time until a permit is asked for again if no router could decide.
+	undecidedRetry = 250 * time.Millisecond
 	// minExhausted and maxExhausted bound the time for which an instance gets no requests for
 	// permits after one was denied. The latter is the interval of the lowest rate limit.
 	minExhausted = 10 * time.Millisecond
@@ -43,7 +45,7 @@
 
 // UndecidedPermit returns the denial of a request that no router can decide.
 func UndecidedPermit() *peerpb.PermitResponse {
-	return &peerpb.PermitResponse{NextUs: uint32(unreachablePermitGap.Microseconds())}
+	return &peerpb.PermitResponse{NextUs: uint32(undecidedRetry.Microseconds())}
 }
 
 // newPermitRequest returns the request for the permit that a pick needs.
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -12,7 +12,8 @@
 // with a rate limit, or is rejected if there are no others.
 const maxDenials = 1
 
-// place returns the instance for the next attempt, nil if the call has ended.
+// place returns the instance for the next attempt, nil if the call has ended. It takes the
+// permit that the instance needs.
 func (r *run) place() *pick {
 	for denials := 0; ; denials++ {
 		t := r.target()
