--- a/internal/dispatch/ratelimit_test.go
+++ b/internal/dispatch/ratelimit_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math"
 	"net/http"
 	"net/http/httptest"
@@ -258,3 +259,21 @@
 		}
 	})
 }
+
+// One decision on a permit that any of a service's engines will do for.
+func BenchmarkDecidePermit(b *testing.B) {
+	for _, engines := range []int{12, 140, 600} {
+		b.Run(fmt.Sprint(engines, " engines"), func(b *testing.B) {
+			balancer := newTestBalancer(engines)
+			rate := 1.3
+			for _, i := range listing(engines) {
+				balancer.recordRateLimit(&pick{instance: i}, "id", balancer.now, call.Reply{RateLimit: &rate})
+			}
+			p, _ := balancer.choose(prompt("p"), target{service: "model", objective: time.Second, deadline: balancer.now.Add(time.Minute)}, nil)
+			for b.Loop() {
+				balancer.now = balancer.now.Add(time.Millisecond)
+				balancer.DecidePermit("other", p.permitRequest)
+			}
+		})
+	}
+}
