--- a/internal/containment/containment.go
+++ b/internal/containment/containment.go
@@ -9,7 +9,8 @@
 //
 // A key with MaxStrikes strikes, or one more if it has recently been in a whole response,
 // is blamed. Crashes at which a blamed key with more strikes was in flight don't count for
-// it: that one explains them. Keys that were in flight at the same crashes can't be told
+// it: that one explains them. Those that two keys with as many strikes share count for
+// neither, if each also has others. Keys that were in flight at the same crashes can't be told
 // apart: only a request that has all of them is refused; one that has only some of them
 // runs, and shows which it is. A request is refused for RefusalTime if its content is
 // blamed. A refusal for what it shares with others, which may be wrong, begins with
