A surplus call takes a permit that is free

While permits are short, a call of a workspace beyond its fair share may wait for none, but takes one that is free.

Cause: the instance was chosen for the whole wait before the share was known. If the preferred instance's permit was due within a quarter of the wait, the call was denied, although another instance's permit was free.

Change: if the wait of the choice is longer than the share allows, the choice is made again for that wait.

Measured: TestSurplusCallTakesAFreePermit failed before (denied) and passes.

--- a/internal/ratelimit/ratelimit.go
+++ b/internal/ratelimit/ratelimit.go
@@ -109,11 +109,15 @@
 		d.MaxWait = shareOfWait(d.Share, maxWait)
 	}
 	if wait > d.MaxWait {
-		d.Next = wait - d.MaxWait
+		// Another instance's permit may be due within the wait of the share.
+		d.Limit, d.Wait, _ = a.choose(now, r, d.MaxWait)
+	}
+	if d.Wait > d.MaxWait {
+		d.Next = d.Wait - d.MaxWait
 		return d
 	}
 	d.Granted = true
-	a.schedules[limit.run()].take(now.Add(wait))
+	a.schedules[d.Limit.run()].take(now.Add(d.Wait))
 	if r.Last {
 		a.shares.RecordAdmitted(now)
 	}
--- a/internal/ratelimit/ratelimit_test.go
+++ b/internal/ratelimit/ratelimit_test.go
@@ -172,3 +172,29 @@
 		}
 	}
 }
+
+// A workspace beyond its fair share gets a permit that is free, although the preferred
+// instance's is due a moment later.
+func TestSurplusCallTakesAFreePermit(t *testing.T) {
+	a, now := NewAllocator(), start
+	surplus := Request{Preferred: limits(1), Last: true, Workspace: "hot", MaxWait: 200 * time.Millisecond, Random: 0.9}
+	other := surplus
+	other.Workspace, other.Random = "small", 0
+	// From one second on, permits are short.
+	for range 200 {
+		now = now.Add(10 * time.Millisecond)
+		for range 4 {
+			a.Decide(now, surplus)
+		}
+		a.Decide(now, other)
+	}
+	free := Limit{Instance: 2, Rate: 10}
+	a.schedule(now, free)
+	for due := a.schedule(now, limits(1)[0]).due(now); due > surplus.MaxWait/preferredWaitDivisor; due -= 10 * time.Millisecond {
+		now = now.Add(10 * time.Millisecond)
+	}
+	surplus.Others = []Limit{free}
+	if d := a.Decide(now, surplus); !d.Granted || d.Limit != free || d.Wait != 0 || d.Share != overload.Surplus {
+		t.Errorf("%+v, want the free permit of the other instance for a surplus call", d)
+	}
+}
