--- a/internal/dispatch/selection.go
+++ b/internal/dispatch/selection.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"github.com/verbenatrail/verbenatrail/internal/call"
@@ -12,7 +13,8 @@
 	candidates []instances.Candidate
 	// sources take no call now; cached prompt parts can be fetched from them.
 	sources []instances.Instance
-	// limited and unlimited are all that could take the call, with and without a rate limit.
+	// limited and unlimited are all that could take the call, with and without a rate limit;
+	// neither is set if none has one.
 	limited, unlimited []instances.Candidate
 	// last is set if only those with a rate limit are left.
 	last bool
@@ -22,18 +24,18 @@
 // while others have a limit, those without one that have no room for a prompt. If none is
 // left without a limit, all that have one are selected.
 func (b *Balancer) selectInstances(now time.Time, c *call.Call, t target, all []instances.Candidate) selection {
+	limited := func(c instances.Candidate) bool { return b.registry.RateLimit(c.Instance) > 0 }
+	if !slices.ContainsFunc(all, limited) {
+		return selection{candidates: all}
+	}
 	var s selection
 	for _, candidate := range all {
-		if b.registry.RateLimit(candidate.Instance) > 0 {
+		if limited(candidate) {
 			s.limited = append(s.limited, candidate)
 		} else {
 			s.unlimited = append(s.unlimited, candidate)
 		}
 	}
-	if len(s.limited) == 0 {
-		s.candidates = all
-		return s
-	}
 	for _, candidate := range s.unlimited {
 		s.add(candidate, len(c.Prompt.Parts) == 0 || b.hasRoom(now, candidate))
 	}
