Test: an engine without a limit is not crowded by the surplus of the others

One engine names a limit, the other one has 64 slots and answers 20 calls a second; 67 a second arrive for 25 s.

--- a/internal/dispatch/permit_model_test.go
+++ b/internal/dispatch/permit_model_test.go
@@ -337,3 +337,63 @@
 		}
 	}
 }
+
+// One engine names a limit, the other one has slots for many more calls than it begins to
+// answer in time: what it can't is rejected, not queued there.
+func TestEngineWithoutALimitIsNotCrowded(t *testing.T) {
+	const (
+		objective = time.Second
+		// callTime is the time that the engine without a limit works on a call; calls share it.
+		callTime    = 50 * time.Millisecond
+		arrivalStep = 15 * time.Millisecond
+		settled     = 5 * time.Second
+		duration    = 25 * time.Second
+	)
+	b, engines, rate := newTestBalancer(0), listing(2), 1.0
+	for i := range engines {
+		engines[i].Slots = 64
+	}
+	b.SetInstances(engines)
+	b.now = b.now.Add(time.Second)
+	b.recordRateLimit(&pick{instance: engines[0]}, "id", b.now, call.Reply{RateLimit: &rate})
+	type running struct {
+		pick *pick
+		due  time.Time
+		took time.Duration
+	}
+	var calls []running
+	begin, onTime, late := b.now, 0, 0
+	for n := 0; b.now.Sub(begin) < duration; n++ {
+		b.now = b.now.Add(arrivalStep)
+		calls = slices.DeleteFunc(calls, func(r running) bool {
+			if r.due.After(b.now) {
+				return false
+			}
+			b.recordConcurrency(r.pick, objective, r.took)
+			b.done(r.pick)
+			return true
+		})
+		c := prompt("p")
+		c.ID = fmt.Sprint("call-", n)
+		p, _ := b.choose(c, target{service: "model", objective: objective, deadline: b.now.Add(time.Minute), avoidLimited: true}, nil)
+		if p == nil || p.permitRequest != nil {
+			continue
+		}
+		took := time.Duration(len(calls)+1) * callTime
+		calls = append(calls, running{pick: p, due: b.now.Add(took), took: took})
+		switch {
+		case b.now.Sub(begin) < settled:
+		case took > objective:
+			late++
+		default:
+			onTime++
+		}
+	}
+	t.Logf("%d calls on time, %d late", onTime, late)
+	if late > onTime/10 {
+		t.Errorf("%d of %d calls begin later than the objective", late, onTime+late)
+	}
+	if possible := int((duration - settled) / callTime); onTime < possible*7/10 {
+		t.Errorf("%d calls on time, the engine could answer %d", onTime, possible)
+	}
+}
