--- a/review/platform/case_stuck_router.go
+++ b/review/platform/case_stuck_router.go
@@ -1,8 +1,11 @@
 package main
 
 import (
+	"context"
+	"encoding/json"
 	"fmt"
 	"net/http"
+	"slices"
 	"syscall"
 	"time"
 )
@@ -10,20 +13,47 @@
 const (
 	// removedKey is the key that the second version of the configuration lacks.
 	removedKey = "anfqasnmgkcuyj8pjbvk"
-	// crowdStays is how long the crowd's channels stay open, crowdGone how long the machine
-	// is calm before the configuration changes: more than stabilityWindowMs and the 5 s after
-	// a crowd.
-	crowdStays = 3 * time.Second
-	crowdGone  = 15 * time.Second
-	// configApply is configApplyMs.
-	configApply = 2 * time.Second
-	checks      = 10
+	// crowdSettles is the time in which the router accepts the last of the crowd's channels.
+	crowdSettles = 200 * time.Millisecond
+	// crowdStays is how long the crowd's channels stay open after the second router was
+	// added.
+	crowdStays = time.Second
+	// configApply is configApplyMs, with a margin for the clocks.
+	configApply = 2*time.Second + 50*time.Millisecond
+	// longKept is how much longer than its time some clients keep an answer of the directory.
+	longKept = 3
+	// askPause is the pause of a client between two requests.
+	askPause = 250 * time.Millisecond
 )
 
-// stuckRouter adds a second router to a first one and changes the configuration. Then it asks
-// the first one with a key that was removed and on a route that was added. With trouble,
-// clients had opened as many channels to the first router as its machine has descriptors when
-// the second one was added, and have left again.
+// resolution is an answer of the directory.
+type resolution struct {
+	Addresses []string `json:"addresses"`
+	TTLS      float64  `json:"ttlS"`
+}
+
+func (r *router) resolve() (resolution, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	url := "http://" + r.directory + "/-/resolution?name=" + callerHost + "&region=bagmati&zone=balaju"
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return resolution{}, err
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return resolution{}, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	var found resolution
+	return found, json.NewDecoder(response.Body).Decode(&found)
+}
+
+// stuckRouter adds a second router to a first one and changes the configuration. Clients that
+// still have the directory's answer from before ask the first one with a key that was removed
+// and on a route that was added. With trouble, other clients have opened as many channels to
+// the first router as its machine has descriptors when the second one is added, and leave a
+// second later.
 func stuckRouter(f *fleet, trouble bool) (int, error) {
 	lookup := func(name, prefix string) map[string]any {
 		return map[string]any{"name": name, "prefix": prefix, "kind": "idempotent", "service": "app", "timeoutMs": 1000,
@@ -44,7 +74,14 @@
 	if err != nil {
 		return 0, err
 	}
-	time.Sleep(stabilityWindow)
+	// The machine is in touch from now on.
+	time.Sleep(stabilityWindow + time.Second)
+	found, err := r.resolve()
+	if err != nil || !slices.Contains(found.Addresses, r.callers) {
+		return 0, fmt.Errorf("%w: the directory answers %v, %v", errCouldNotRun, found, err)
+	}
+	keptUntil := time.Now().Add(time.Duration(longKept * found.TTLS * float64(time.Second)))
+	f.record.printf("the directory names %v for %g s", found.Addresses, found.TTLS)
 	leave := func() {}
 	if trouble {
 		if leave, err = f.crowd(r); err != nil {
@@ -52,37 +89,26 @@
 		}
 		defer leave()
 	}
-	if _, err := f.startRouter(); err != nil {
+	second, err := f.startRouter()
+	if err != nil {
 		return 0, err
 	}
-	if trouble {
-		time.Sleep(crowdStays)
-		leave()
-		f.record.printf("the crowd has left")
-	}
-	time.Sleep(crowdGone)
 	f.keys = []string{callerKey}
 	f.configure(2, lookup("fleet-lookup", "/lookup/"), lookup("yard-lookup", "/yard/"))
+	acked := time.Now()
 	f.record.printf("the store has acknowledged version 2: a key removed, a route added")
-	time.Sleep(configApply + time.Second)
+	time.Sleep(crowdStays)
+	leave()
+	f.record.printf("no other clients are there any more")
+	time.Sleep(time.Until(acked.Add(configApply)))
 	broken := 0
-	for n := range checks {
-		old := call{method: http.MethodGet, path: "/lookup/1", id: fmt.Sprintf("%016x", 0xe000+n), deadline: time.Second, key: removedKey}
-		a := ask(r.callers, old)
-		f.record.printf("client with the removed key gets for %s from %s: %s", old.id, r.name, a)
-		if a.status == http.StatusOK {
-			f.record.printf("CONFIG: %s ran with a key that was removed", old.id)
-			broken++
-		}
-		added := call{method: http.MethodGet, path: "/yard/1", id: fmt.Sprintf("%016x", 0xf000+n), deadline: time.Second}
-		a = ask(r.callers, added)
-		f.record.printf("client on the added route gets for %s from %s: %s", added.id, r.name, a)
-		if a.status == http.StatusNotFound {
-			f.record.printf("CONFIG: %s is refused, the route is there", added.id)
-			broken++
-		}
-		time.Sleep(300 * time.Millisecond)
+	for n := 0; time.Now().Before(keptUntil); n++ {
+		broken += f.askBoth(r, n)
+		time.Sleep(askPause)
 	}
+	now, err := second.resolve()
+	f.record.printf("the directory of %s names %v, %v", second.name, now.Addresses, err)
+	f.record.printf("%s answers 200 when it is asked whether it is ready: %t", r.name, r.isReady())
 	f.record.printf("%s is told to stop", r.name)
 	_ = r.command.Process.Signal(syscall.SIGTERM)
 	select {
@@ -94,6 +120,26 @@
 	return broken, nil
 }
 
+// askBoth sends a request with the removed key and one on the added route, and returns how
+// many of them were handled as the first version says.
+func (f *fleet) askBoth(r *router, n int) (broken int) {
+	old := call{method: http.MethodGet, path: "/lookup/1", id: fmt.Sprintf("%016x", 0xe000+n), deadline: time.Second, key: removedKey}
+	a := ask(r.callers, old)
+	f.record.printf("client with the removed key gets for %s from %s: %s", old.id, r.name, a)
+	if a.status == http.StatusOK {
+		f.record.printf("CONFIG: %s ran with a key that was removed", old.id)
+		broken++
+	}
+	added := call{method: http.MethodGet, path: "/yard/1", id: fmt.Sprintf("%016x", 0xf000+n), deadline: time.Second}
+	a = ask(r.callers, added)
+	f.record.printf("client on the added route gets for %s from %s: %s", added.id, r.name, a)
+	if a.status == http.StatusNotFound {
+		f.record.printf("CONFIG: %s is refused, the route is there", added.id)
+		broken++
+	}
+	return broken
+}
+
 // crowd opens channels to a router until its process has no descriptor left, and returns a
 // function that closes them.
 func (f *fleet) crowd(r *router) (leave func(), err error) {
@@ -113,6 +159,6 @@
 		open = append(open, c)
 	}
 	f.record.printf("%d clients have connected to %s", len(open), r.name)
-	time.Sleep(time.Second)
+	time.Sleep(crowdSettles)
 	return leave, nil
 }
--- a/review/platform/fleet.go
+++ b/review/platform/fleet.go
@@ -118,11 +118,11 @@
 
 // router is a process of the deployment.
 type router struct {
-	name, ip, callers, ready string
-	settings                 string
-	command                  *exec.Cmd
-	done                     chan struct{}
-	output                   *bytes.Buffer
+	name, ip, callers, ready, directory string
+	settings                            string
+	command                             *exec.Cmd
+	done                                chan struct{}
+	output                              *bytes.Buffer
 }
 
 func freeAddress(ip string) (string, error) {
@@ -146,7 +146,7 @@
 		}
 		addresses = append(addresses, address)
 	}
-	r.callers, r.ready = addresses[0], addresses[1]
+	r.callers, r.ready, r.directory = addresses[0], addresses[1], addresses[3]
 	first := len(f.routers) == 0
 	f.seeds = append(f.seeds, addresses[2])
 	text := fmt.Sprintf(`nodeName: %q
@@ -169,7 +169,7 @@
 contracts: ["base", "drain", "config", "cost", "retry", "recover", "engine", "stream", "tenants", "platform"]
 bounds: {seedLagS: 3, reuseAfterS: 2, stabilityWindowMs: %d, ackTimeoutMs: 4000, catchUpS: 4, drainMs: %d, gracePeriodS: %d, lossSlackMs: 200, configApplyMs: 2000, rollbackSlackMs: 250, maxExtensionMs: 5000, strictRevocation: false, revokeMs: 5000, retryBudgetRatio: 0.2, budgetWindowS: 10, retryBudgetExtra: 56, recoveryS: 12, passMs: 120, reuseWindowS: 10, capacityMultiplier: 2, ttl_max_s: 5}
 platform: {address: %q, form: "kv", writesPerS: 400, readsPerS: 2000, historyS: 20, valueBytes: 1048576, ttlMinMs: 1000}
-`, r.name, r.ip, r.callers, r.ready, addresses[2], addresses[3], internalPortFrom, strings.Join(f.seeds[:min(len(f.seeds), 3)], `", "`), first,
+`, r.name, r.ip, r.callers, r.ready, addresses[2], r.directory, internalPortFrom, strings.Join(f.seeds[:min(len(f.seeds), 3)], `", "`), first,
 		descriptors, heartbeat.Milliseconds(), stabilityWindow.Milliseconds(), drainMS, graceSeconds, f.store.address)
 	r.settings = filepath.Join(f.folder, r.name+".yaml")
 	if err := os.WriteFile(r.settings, []byte(text), 0o600); err != nil {
@@ -221,20 +221,24 @@
 
 func (f *fleet) waitReady(r *router) error {
 	for end := time.Now().Add(readyTimeout); time.Now().Before(end) && r.running(); time.Sleep(20 * time.Millisecond) {
-		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
-		request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+r.ready+"/-/readiness", nil)
-		if err != nil {
-			cancel()
-			return err
-		}
-		response, err := http.DefaultClient.Do(request)
-		if err == nil {
-			_ = response.Body.Close()
-		}
-		cancel()
-		if err == nil && response.StatusCode == http.StatusOK {
+		if r.isReady() {
 			return nil
 		}
 	}
 	return fmt.Errorf("%w: %s isn't ready: %s", errCouldNotRun, r.name, r.output.String())
 }
+
+func (r *router) isReady() bool {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+r.ready+"/-/readiness", nil)
+	if err != nil {
+		return false
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return false
+	}
+	_ = response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
