--- a/review/platform/case_stuck_router.go
+++ b/review/platform/case_stuck_router.go
@@ -1,9 +1,12 @@
 package main
 
 import (
+	"bufio"
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"slices"
 	"syscall"
@@ -13,15 +16,14 @@
 const (
 	// removedKey is the key that the second version of the configuration lacks.
 	removedKey = "anfqasnmgkcuyj8pjbvk"
-	// crowdSettles is the time in which the router accepts the last of the crowd's channels.
-	crowdSettles = 200 * time.Millisecond
 	// crowdStays is how long the crowd's channels stay open after the second router was
 	// added.
 	crowdStays = time.Second
 	// configApply is configApplyMs, with a margin for the clocks.
 	configApply = 2*time.Second + 50*time.Millisecond
 	// longKept is how much longer than its time some clients keep an answer of the directory.
-	longKept = 3
+	longKept       = 3
+	resolutionPath = "/-/resolution?name=" + callerHost + "&region=bagmati&zone=balaju"
 	// askPause is the pause of a client between two requests.
 	askPause = 250 * time.Millisecond
 )
@@ -35,8 +37,7 @@
 func (r *router) resolve() (resolution, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
-	url := "http://" + r.directory + "/-/resolution?name=" + callerHost + "&region=bagmati&zone=balaju"
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+r.directory+resolutionPath, nil)
 	if err != nil {
 		return resolution{}, err
 	}
@@ -140,25 +141,47 @@
 	return broken
 }
 
-// crowd opens channels to a router until its process has no descriptor left, and returns a
-// function that closes them.
+// crowd has clients ask a router's directory, each once and on a channel of its own that it
+// keeps open, until the router answers no more: its process has no descriptor left. The
+// returned function closes the channels.
 func (f *fleet) crowd(r *router) (leave func(), err error) {
-	var open []*channel
+	var open []net.Conn
 	leave = func() {
-		for _, c := range open {
-			c.close()
+		for _, conn := range open {
+			_ = conn.Close()
 		}
 		open = nil
 	}
-	for range descriptors {
-		c, err := connect(r.callers)
+	answered := 0
+	for ; answered < int(f.descriptors); answered++ {
+		conn, err := net.DialTimeout("tcp4", r.directory, time.Second)
 		if err != nil {
-			leave()
-			return nil, fmt.Errorf("%w: %d channels are open: %w", errCouldNotRun, len(open), err)
+			break
 		}
-		open = append(open, c)
+		open = append(open, conn)
+		if err := askDirectory(conn); err != nil {
+			break
+		}
+	}
+	f.record.printf("%d clients have asked the directory of %s and keep their channels, the next gets no answer", answered, r.name)
+	if answered < int(f.descriptors)/2 || answered == int(f.descriptors) {
+		leave()
+		return nil, fmt.Errorf("%w: the crowd is of another size than expected", errCouldNotRun)
 	}
-	f.record.printf("%d clients have connected to %s", len(open), r.name)
-	time.Sleep(crowdSettles)
 	return leave, nil
 }
+
+// askDirectory asks a directory on an open channel, and waits a second for the answer.
+func askDirectory(conn net.Conn) error {
+	_ = conn.SetDeadline(time.Now().Add(time.Second))
+	if _, err := io.WriteString(conn, "GET "+resolutionPath+" HTTP/1.1\r\nHost: "+callerHost+"\r\n\r\n"); err != nil {
+		return err
+	}
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = response.Body.Close() }()
+	_, err = io.Copy(io.Discard, response.Body)
+	return err
+}
--- a/review/platform/fleet.go
+++ b/review/platform/fleet.go
@@ -23,7 +23,7 @@
 
 // Settings of the machines and bounds, those of the example in the deployment page.
 const (
-	descriptors      = 6150
+	mostDescriptors  = 6150
 	graceSeconds     = 8
 	drainMS          = 2000
 	heartbeat        = 1200 * time.Millisecond
@@ -63,6 +63,8 @@
 	net   string
 	hosts int
 	seeds []string
+	// descriptors is how many descriptors a router's process may open.
+	descriptors uint64
 	// keys are the keys of the tenant in the next configuration.
 	keys    []string
 	routers []*router
@@ -76,11 +78,31 @@
 	if err != nil {
 		return nil, err
 	}
-	f := &fleet{record: r, folder: folder, keys: []string{callerKey}, net: fmt.Sprintf("127.%d.%d", 60+os.Getpid()%150, 1+os.Getpid()/150%250)}
+	descriptors, err := routerDescriptors()
+	if err != nil {
+		return nil, err
+	}
+	f := &fleet{descriptors: descriptors, record: r, folder: folder, keys: []string{callerKey}, net: fmt.Sprintf("127.%d.%d", 60+os.Getpid()%150, 1+os.Getpid()/150%250)}
 	f.store, err = newStore(f.newHost())
 	return f, err
 }
 
+// ownDescriptors is how many more descriptors than a router this process may need.
+const ownDescriptors = 500
+
+// routerDescriptors returns how many descriptors a router's process may open: those of the
+// settings, or fewer where this process can't open as many channels.
+func routerDescriptors() (uint64, error) {
+	var limit unix.Rlimit
+	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &limit); err != nil {
+		return 0, err
+	}
+	if limit.Max < mostDescriptors+ownDescriptors {
+		return limit.Max - ownDescriptors, nil
+	}
+	return mostDescriptors, nil
+}
+
 func (f *fleet) newHost() string {
 	f.hosts++
 	return fmt.Sprintf("%s.%d", f.net, f.hosts+1)
@@ -170,20 +192,20 @@
 bounds: {seedLagS: 3, reuseAfterS: 2, stabilityWindowMs: %d, ackTimeoutMs: 4000, catchUpS: 4, drainMs: %d, gracePeriodS: %d, lossSlackMs: 200, configApplyMs: 2000, rollbackSlackMs: 250, maxExtensionMs: 5000, strictRevocation: false, revokeMs: 5000, retryBudgetRatio: 0.2, budgetWindowS: 10, retryBudgetExtra: 56, recoveryS: 12, passMs: 120, reuseWindowS: 10, capacityMultiplier: 2, ttl_max_s: 5}
 platform: {address: %q, form: "kv", writesPerS: 400, readsPerS: 2000, historyS: 20, valueBytes: 1048576, ttlMinMs: 1000}
 `, r.name, r.ip, r.callers, r.ready, addresses[2], r.directory, internalPortFrom, strings.Join(f.seeds[:min(len(f.seeds), 3)], `", "`), first,
-		descriptors, heartbeat.Milliseconds(), stabilityWindow.Milliseconds(), drainMS, graceSeconds, f.store.address)
+		f.descriptors, heartbeat.Milliseconds(), stabilityWindow.Milliseconds(), drainMS, graceSeconds, f.store.address)
 	r.settings = filepath.Join(f.folder, r.name+".yaml")
 	if err := os.WriteFile(r.settings, []byte(text), 0o600); err != nil {
 		return nil, err
 	}
 	f.routers = append(f.routers, r)
-	if err := r.start(); err != nil {
+	if err := r.start(f.descriptors); err != nil {
 		return nil, err
 	}
 	f.record.printf("router %s started, callers connect to %s", r.name, r.callers)
 	return r, f.waitReady(r)
 }
 
-func (r *router) start() error {
+func (r *router) start(descriptors uint64) error {
 	r.done = make(chan struct{})
 	r.command = exec.Command(edgeProgram)
 	r.command.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "VERBENATRAIL_BOOT=" + r.settings}
