Show that a fatal part in the middle of a long prompt is never contained

Of a prompt with more than 24 shared parts only the first and the last twelve are keys of containment. Requests with a fatal part between them crash engines as long as they come, and break off the sound streams there.

--- a/review/platform/engine.go
+++ b/review/platform/engine.go
@@ -29,6 +29,8 @@
 	mu    sync.Mutex
 	conns map[net.Conn]bool
 	runs  map[string]int
+	// crashed is set once the engine has begun to crash.
+	crashed bool
 }
 
 // exchange is one request on one connection of an engine.
@@ -51,12 +53,16 @@
 type answerFunc func(x *exchange) bool
 
 func (f *fleet) startEngine(id, service string, slots int, answer answerFunc) (*engine, error) {
+	return f.startEngineAt(f.newHost()+":0", id, service, slots, answer)
+}
+
+func (f *fleet) startEngineAt(address, id, service string, slots int, answer answerFunc) (*engine, error) {
 	e := &engine{
 		fleet: f, id: id, service: service, slots: slots, answer: answer, born: time.Now().UnixMilli(),
 		stopped: make(chan struct{}), conns: map[net.Conn]bool{}, runs: map[string]int{},
 	}
 	var err error
-	if e.listener, err = net.Listen("tcp4", f.newHost()+":0"); err != nil {
+	if e.listener, err = net.Listen("tcp4", address); err != nil {
 		return nil, err
 	}
 	e.address = e.listener.Addr().String()
@@ -92,6 +98,22 @@
 	}
 }
 
+// crashAndReturn crashes the engine and starts it again at the same address under a new id.
+func (e *engine) crashAndReturn(after time.Duration) {
+	e.mu.Lock()
+	crashed := e.crashed
+	e.crashed = true
+	e.mu.Unlock()
+	if crashed {
+		return
+	}
+	e.crash()
+	time.Sleep(after)
+	if _, err := e.fleet.startEngineAt(e.address, e.id+"x", e.service, e.slots, e.answer); err != nil {
+		e.fleet.record.printf("%s isn't back: %v", e.id, err)
+	}
+}
+
 func (e *engine) accept() {
 	for {
 		conn, err := e.listener.Accept()
--- a/review/platform/main.go
+++ b/review/platform/main.go
@@ -29,6 +29,7 @@
 var drills = map[string]drill{
 	"late-copy":      lateCopy,
 	"joined-failure": joinedFailure,
+	"fatal-part":     fatalPart,
 	"half-closed":    halfClosed,
 	"stuck-router":   stuckRouter,
 }
