--- a/review/platform/case_fatal_part.go
+++ b/review/platform/case_fatal_part.go
@@ -82,8 +82,7 @@
 				method: http.MethodPost, path: "/draft/1", id: fmt.Sprintf("%s%014x", kind, n), deadline: 4 * time.Second,
 				prompt: prompt, body: fmt.Sprintf("question %d", n),
 			}
-			a := ask(routers[n%len(routers)].callers, request)
-			f.record.printf("client gets for %s: status %d, complete %t", request.id, a.status, a.err == nil)
+			f.ask(routers[n%len(routers)], request)
 		})
 	}
 	clients.Go(func() {
--- a/review/platform/case_joined_failure.go
+++ b/review/platform/case_joined_failure.go
@@ -64,8 +64,7 @@
 				method: http.MethodPost, path: "/chat/1", id: fmt.Sprintf("%016x", 0xa000+n), deadline: 15 * time.Second,
 				prompt: fmt.Sprintf("5c1e07a2:103,%08x:500,%08x:110", 0x9100+n%8, n), body: "a question",
 			}
-			a := ask(r.callers, request)
-			f.record.printf("client gets for %s: %s", request.id, a)
+			a := f.ask(r, request)
 			if a.status == http.StatusOK && a.err == nil && a.body != wholeStream() {
 				f.record.printf("ORDER, MIXED: the stream of %s ends as complete and isn't the engine's", request.id)
 				mu.Lock()
--- a/review/platform/case_late_copy.go
+++ b/review/platform/case_late_copy.go
@@ -89,7 +89,7 @@
 		for n := range burstCalls {
 			clients.Go(func() {
 				id := fmt.Sprintf("%016x", 0xc0000+b*burstCalls+n)
-				a := ask(routers[n%2].callers, call{method: http.MethodPost, path: "/confirm/1", id: id, deadline: time.Second, body: "two rollers"})
+				a := f.ask(routers[n%2], call{method: http.MethodPost, path: "/confirm/1", id: id, deadline: time.Second, body: "two rollers"})
 				mu.Lock()
 				defer mu.Unlock()
 				all = append(all, sent{id, a})
--- a/review/platform/case_stuck_router.go
+++ b/review/platform/case_stuck_router.go
@@ -125,15 +125,13 @@
 // many of them were handled as the first version says.
 func (f *fleet) askBoth(r *router, n int) (broken int) {
 	old := call{method: http.MethodGet, path: "/lookup/1", id: fmt.Sprintf("%016x", 0xe000+n), deadline: time.Second, key: removedKey}
-	a := ask(r.callers, old)
-	f.record.printf("client with the removed key gets for %s from %s: %s", old.id, r.name, a)
+	a := f.ask(r, old)
 	if a.status == http.StatusOK {
 		f.record.printf("CONFIG: %s ran with a key that was removed", old.id)
 		broken++
 	}
 	added := call{method: http.MethodGet, path: "/yard/1", id: fmt.Sprintf("%016x", 0xf000+n), deadline: time.Second}
-	a = ask(r.callers, added)
-	f.record.printf("client on the added route gets for %s from %s: %s", added.id, r.name, a)
+	a = f.ask(r, added)
 	if a.status == http.StatusNotFound {
 		f.record.printf("CONFIG: %s is refused, the route is there", added.id)
 		broken++
--- a/review/platform/client.go
+++ b/review/platform/client.go
@@ -90,6 +90,15 @@
 	return answer{status: response.StatusCode, header: response.Header, body: body.String(), err: err}
 }
 
+// ask sends a request to a router on a channel of its own and waits for the answer. It records
+// both.
+func (f *fleet) ask(r *router, request call) answer {
+	f.record.printf("client sends %s %s %s to %s", request.id, request.method, request.path, r.name)
+	a := ask(r.callers, request)
+	f.record.printf("client gets for %s from %s: %s", request.id, r.name, a)
+	return a
+}
+
 // ask sends a request on a channel of its own and waits for the answer.
 func ask(address string, request call) answer {
 	c, err := connect(address)
