--- a/review/platform/case_late_copy.go
+++ b/review/platform/case_late_copy.go
@@ -14,7 +14,10 @@
 	appWork  = 15 * time.Millisecond
 	// copyEach is the number of an engine's answers of which one is sent twice: 3 in 100.
 	copyEach = 34
-	bursts   = 200
+	// The engine is faulty for faultTime, and sound for soundTime, in turn.
+	faultTime = 5 * time.Second
+	soundTime = 2 * time.Second
+	bursts    = 220
 	// burstCalls is the number of calls that come at once, half of them to each router: more
 	// than two engines have places for.
 	burstCalls = 32
@@ -23,13 +26,15 @@
 
 // lateCopy sends bursts of calls that may run once to two engines, which reject what exceeds
 // their places. With trouble, one of them sends 3 in 100 of its answers a second time, late:
-// when it has read the next request on the channel.
+// when it has read the next request on the channel. It does so for five seconds, several times.
 func lateCopy(f *fleet, trouble bool) (int, error) {
 	f.configure(1, map[string]any{
 		"name": "hire-confirm", "prefix": "/confirm/", "kind": "non_idempotent", "service": "app", "timeoutMs": 1000,
 		"targetLatencyMs": 100, "maxAttempts": 1,
 	})
 	answerOf := func(faulty bool) answerFunc {
+		start := time.Now()
+		isFaulty := func() bool { return faulty && trouble && time.Since(start)%(faultTime+soundTime) < faultTime }
 		slots, places := make(chan struct{}, appSlots), make(chan struct{}, appSlots+appQueue)
 		var answers atomic.Int64
 		return func(x *exchange) bool {
@@ -41,7 +46,7 @@
 				}
 			}
 			send := func(text string) bool {
-				if answers.Add(1)%copyEach == 0 && faulty && trouble {
+				if answers.Add(1)%copyEach == 0 && isFaulty() {
 					x.state.extra = []byte(text)
 				}
 				return x.write(text)
