Let only the rest of a stream follow its beginning

Cause: exchange.forward looked at the response only, and endStream ended the caller's stream also if the attempt had not reached the caller's position. The same class: streams without an event, an error text or a head in a response that calls itself a stream, events that have no place in the order of the others, and streams whose last event has no ID, which were requested again from an earlier position.

Change: once a stream has begun, only a signed stream of events with status 200 goes on with it, and ends it only from the caller's position on; anything else is a failed attempt. Lines that are no fields are not passed on. The responder breaks a response off in place of writing a second one into it.

Ruled out: that only failed attempts with status 500 and above were handled wrongly at their end (TestStartedResponsesAreAborted holds on the untouched code).

--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -17,6 +17,7 @@
 	"github.com/verbenatrail/verbenatrail/internal/refusal"
 	"github.com/verbenatrail/verbenatrail/internal/retry"
 	"github.com/verbenatrail/verbenatrail/internal/routing"
+	"github.com/verbenatrail/verbenatrail/internal/upstream"
 )
 
 // run is the state of one call while it is served, over all its attempts.
@@ -89,6 +90,25 @@
 	started bool
 	lastID  string
 	events  int
+	// unknown is set if data without an ID has followed lastID.
+	unknown bool
+}
+
+// advance records that an event has been forwarded.
+func (p *streamPosition) advance(event upstream.Event) {
+	p.events++
+	switch {
+	case event.ID != "":
+		p.lastID, p.unknown = event.ID, false
+	case event.HasData:
+		p.unknown = true
+	}
+}
+
+// resumable reports whether another instance can be told where to go on: if the position
+// is unknown, the caller would get events twice.
+func (p *streamPosition) resumable() bool {
+	return !p.started || p.lastID != "" && !p.unknown
 }
 
 func newRun(ctx context.Context, d *Dispatcher, c *call.Call, out Responder, config int64, route *routing.Route, w *routing.Workspace) *run {
@@ -174,7 +194,7 @@
 	r.countAttempt(p, s)
 	now := time.Now()
 	verdict := attempt.Decide(attempt.Failure{
-		Progress: s.progress, Repeatable: r.route.Repeatable(), Attempts: r.attempts, MaxAttempts: r.route.MaxAttempts,
+		Progress: s.progress, Repeatable: r.route.Repeatable() && r.stream.resumable(), Attempts: r.attempts, MaxAttempts: r.route.MaxAttempts,
 		FailedDials: r.failedDials, EarlierMayHaveRun: r.mayHaveRun, ResponseStarted: r.stream.started,
 		TimeLeft: r.deadline.Sub(now), MinTime: r.minAttemptTime(),
 	}, func() bool { return r.mayResend(s) && r.takeRetry(s.result) })
--- a/internal/dispatch/send.go
+++ b/internal/dispatch/send.go
@@ -74,7 +74,7 @@
 		options.Pool.Release(conn, 0)
 		return failedAttempt(attempt.Unsent, instances.Late, "the permit to send expired before the connection was open")
 	}
-	e := &exchange{run: r, pick: p, conn: conn, startedAt: time.Now()}
+	e := &exchange{run: r, pick: p, conn: conn, startedAt: time.Now(), resumes: r.stream.started}
 	s := e.exchange(ctx)
 	e.report(&s)
 	return s
@@ -105,6 +105,9 @@
 	// endsWithConn is set if the response has neither a length nor chunks: its end can't
 	// be told from that of the instance.
 	endsWithConn bool
+	// resumes is set if the caller has already received the beginning of the stream from
+	// another attempt, reached once this attempt's stream is at the caller's position.
+	resumes, reached bool
 }
 
 func (e *exchange) exchange(ctx context.Context) attemptResult {
@@ -190,6 +193,8 @@
 		return failedAttempt(attempt.MayHaveRun, instances.Broken, "the response does not belong to the call")
 	case e.reply.EventStream && response.StatusCode == http.StatusOK:
 		return e.forwardStream(response)
+	case e.resumes:
+		return e.refuseContinuation(response)
 	default:
 		return e.forwardBuffered(response)
 	}
--- a/internal/dispatch/stream.go
+++ b/internal/dispatch/stream.go
@@ -26,7 +26,7 @@
 			return e.classifyReadError(err)
 		}
 		e.recordEvent()
-		pass, err := e.isNext(event.ID)
+		pass, err := e.isNext(event)
 		if err != nil {
 			e.conn.Close()
 			return failedAttempt(attempt.MayHaveRun, instances.Broken, err.Error())
@@ -60,20 +60,26 @@
 	if err := e.run.out.WriteEvent(event.Raw, flush); err != nil {
 		return err
 	}
-	position.events++
-	if event.ID != "" {
-		position.lastID = event.ID
+	position.advance(event)
+	if !position.resumable() {
+		// Another instance can't go on with the stream, so that this one's may pause.
+		e.timeout.stop()
 	}
 	return nil
 }
 
 // endStream ends the caller's stream after the instance has ended its own at an
-// event boundary.
+// event boundary. A stream that ends without an event, or before the caller's position
+// in it, isn't the whole one.
 func (e *exchange) endStream(response *http.Response) attemptResult {
-	if e.run.stream.events == 0 && e.firstByte.IsZero() {
+	if e.firstByte.IsZero() {
 		e.conn.Close()
 		return failedAttempt(attempt.MayHaveRun, instances.Broken, "stream ended without an event")
 	}
+	if e.resumes && !e.reached {
+		e.conn.Close()
+		return failedAttempt(attempt.MayHaveRun, instances.Broken, "resumed stream ended before event "+e.run.stream.lastID)
+	}
 	e.release()
 	if !e.run.stream.started {
 		e.run.stream.started = true
@@ -84,21 +90,39 @@
 	return attemptResult{responded: true, whole: !e.firstByte.IsZero(), result: instances.Succeeded}
 }
 
+// refuseContinuation ends an attempt whose response isn't the rest of the caller's stream.
+// Nothing of it may reach the caller, and the caller need not wait for its end.
+func (e *exchange) refuseContinuation(response *http.Response) attemptResult {
+	e.conn.Close()
+	return failedAttempt(attempt.MayHaveRun, instances.Failed,
+		"status "+strconv.Itoa(response.StatusCode)+", type "+strconv.Quote(response.Header.Get("Content-Type"))+" in place of the rest of a stream")
+}
+
 // isNext reports whether an event has to be forwarded: false for events that the
-// caller already has. A gap in a resumed stream is an error.
-func (e *exchange) isNext(id string) (bool, error) {
+// caller already has. In a resumed stream, a gap and an event that has no place in the
+// order of the others are errors.
+func (e *exchange) isNext(event upstream.Event) (bool, error) {
 	position := e.run.stream
-	if id == "" || position.lastID == "" {
+	if e.resumes && event.ID == "" {
+		if event.HasData {
+			return false, errUnplacedEvent
+		}
+		return false, nil
+	}
+	if event.ID == "" || position.lastID == "" {
 		return true, nil
 	}
-	last, err := strconv.ParseInt(position.lastID, 10, 64)
-	if err != nil {
-		return true, nil //nolint:nilerr // Non-numeric IDs have no order to check.
+	last, lastErr := strconv.ParseInt(position.lastID, 10, 64)
+	next, nextErr := strconv.ParseInt(event.ID, 10, 64)
+	if e.resumes && (lastErr == nil) != (nextErr == nil) {
+		return false, errUnplacedEvent
 	}
-	next, err := strconv.ParseInt(id, 10, 64)
-	if err != nil {
-		return true, nil //nolint:nilerr // As above.
+	if lastErr != nil || nextErr != nil {
+		// Non-numeric IDs have no order to check.
+		e.reached = true
+		return true, nil
 	}
+	e.reached = e.reached || next >= last
 	switch {
 	case next <= last:
 		return false, nil
--- a/internal/dispatch/timeout.go
+++ b/internal/dispatch/timeout.go
@@ -13,6 +13,10 @@
 // errGap means that a resumed stream doesn't continue with the next event.
 var errGap = errors.New("resumed stream skips events: the response is aborted")
 
+// errUnplacedEvent means that an event of a resumed stream can't be placed among those
+// that the caller has.
+var errUnplacedEvent = errors.New("resumed stream has an event without an ID in the order of the others: the response is aborted")
+
 const (
 	// firstEventObjectives is the timeout for the first event of a resumable
 	// stream, in latency objectives: callers give up after four.
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -182,7 +182,7 @@
 		s.refuse(w, c, refused)
 		return
 	}
-	out := &responder{w: w, codec: s.options.Codec, call: c, leaving: &s.leaving}
+	out := &responder{w: w, codec: s.options.Codec, call: c, leaving: &s.leaving, log: s.options.Log}
 	s.options.Dispatcher.Serve(r.Context(), c, out)
 	if out.aborted {
 		// Closes the connection without terminating the response, so that the caller
--- a/internal/ingress/responder.go
+++ b/internal/ingress/responder.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/verbenatrail/verbenatrail/internal/call"
+	"github.com/verbenatrail/verbenatrail/internal/decisionlog"
 	"github.com/verbenatrail/verbenatrail/internal/refusal"
 )
 
@@ -18,9 +19,28 @@
 	codec   Codec
 	call    *call.Call
 	leaving *atomic.Bool
+	log     *decisionlog.Log
+	// begun is set once the head of the response is written.
+	begun   bool
 	aborted bool
 }
 
+// errSecondResponse means that a call got a response although it already has one, or the
+// beginning of one.
+var errSecondResponse = errors.New("a response has already begun: it is aborted, and the call must be sent again")
+
+// begin reports whether the head of a response may be written. Once one has begun,
+// another would become a part of its body: the first one is then aborted.
+func (r *responder) begin(kind string) bool {
+	if r.begun {
+		r.aborted = true
+		r.log.Failure("second response to a call", errSecondResponse, decisionlog.Fields{"call": r.call.ID, "kind": kind})
+		return false
+	}
+	r.begun = true
+	return true
+}
+
 // readSlack is the time after a call's deadline in which the caller may still read the end
 // of its response.
 const readSlack = time.Second
@@ -44,6 +64,9 @@
 
 // WriteResponse implements dispatch.Responder.
 func (r *responder) WriteResponse(status int, header http.Header, body []byte) {
+	if !r.begin("response of an instance") {
+		return
+	}
 	r.copyHeader(header)
 	if r.call.Method != http.MethodHead {
 		r.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
@@ -59,6 +82,9 @@
 
 // StartStream implements dispatch.Responder.
 func (r *responder) StartStream(status int, header http.Header) {
+	if !r.begin("stream") {
+		return
+	}
 	r.copyHeader(header)
 	r.w.Header().Del("Content-Length")
 	r.w.WriteHeader(status)
@@ -88,5 +114,8 @@
 
 // Refuse implements dispatch.Responder.
 func (r *responder) Refuse(refused *refusal.Refusal) {
+	if !r.begin("refusal") {
+		return
+	}
 	r.codec.WriteRefusal(r.w, r.call.ID, refused)
 }
--- a/internal/upstream/events.go
+++ b/internal/upstream/events.go
@@ -19,12 +19,19 @@
 // ErrTooLong.
 var ErrEventTooLong = errors.Wrap(ErrTooLong, "an event of the stream exceeds 1 MiB")
 
+// ErrMalformedEvent means that a line in a stream is neither a field nor a comment: it
+// belongs to something else, such as an error message or the head of another response. It
+// is a kind of ErrBroken.
+var ErrMalformedEvent = errors.Wrap(ErrBroken, "a line of the stream is no field of an event")
+
 // Event is one server-sent event.
 type Event struct {
 	// Raw is the event as received, including the blank line at its end.
 	Raw []byte
 	// ID is the value of the event's id field, empty if it has none.
 	ID string
+	// HasData is set if the event has a data field.
+	HasData bool
 }
 
 // EventReader splits a stream into complete events. It never returns a
@@ -50,7 +57,7 @@
 
 // Next returns the next event. Raw is valid until the next call of Next. The
 // error is io.EOF if the stream ends after a complete event, io.ErrUnexpectedEOF if it
-// ends within an event, and ErrTooLong if an event exceeds a limit.
+// ends within an event, ErrMalformedEvent, and ErrTooLong if an event exceeds a limit.
 func (r *EventReader) Next() (Event, error) {
 	r.raw = r.raw[:0]
 	event := Event{}
@@ -63,9 +70,13 @@
 			return Event{}, err
 		}
 		line := bytes.TrimRight(r.raw[start:], "\r\n")
+		if !isFieldOrComment(line) {
+			return Event{}, ErrMalformedEvent
+		}
 		if id, ok := bytes.CutPrefix(line, []byte("id:")); ok {
 			event.ID = string(bytes.TrimPrefix(id, []byte(" ")))
 		}
+		event.HasData = event.HasData || bytes.HasPrefix(line, []byte("data:"))
 		if len(line) == 0 && start > 0 {
 			event.Raw = r.raw
 			return event, nil
@@ -73,6 +84,20 @@
 	}
 }
 
+// isFieldOrComment reports whether a line without its ending can be part of an event: a
+// field name of letters, digits, hyphens and underscores, alone or before a colon, or a
+// comment, which begins with a colon.
+func isFieldOrComment(line []byte) bool {
+	name, _, _ := bytes.Cut(line, []byte(":"))
+	for _, c := range name {
+		letter := 'a' <= c|0x20 && c|0x20 <= 'z'
+		if !letter && (c < '0' || c > '9') && c != '-' && c != '_' {
+			return false
+		}
+	}
+	return true
+}
+
 // readLine appends one line, including its line ending, to r.raw.
 func (r *EventReader) readLine() error {
 	for {
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -278,6 +278,24 @@
 	}
 }
 
+// An error message, or the head of another response, in a stream is no event: callers must
+// not get it.
+func TestLinesThatAreNoFieldsAreNotReturned(t *testing.T) {
+	for _, stream := range []string{
+		"{\"error\":\"busy\"}\n\n", "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\n\r\n", "upstream failed\n\n",
+		"id: 1\n<html>\n\n",
+	} {
+		if _, err := newEventReader(strings.NewReader(stream)).Next(); !errors.Is(err, ErrMalformedEvent) {
+			t.Errorf("%q: %v", stream, err)
+		}
+	}
+	for _, stream := range []string{": comment\n\n", "data\n\n", "x-weight-versions: 3\nid: 1\ndata: {\"a\": 1}\n\n", "\n\n"} {
+		if event, err := newEventReader(strings.NewReader(stream)).Next(); err != nil || string(event.Raw) != stream {
+			t.Errorf("%q: %v", stream, err)
+		}
+	}
+}
+
 // For any input, the events read are a prefix of it.
 func FuzzEvents(f *testing.F) {
 	f.Add([]byte("id: 1\ndata: a\n\n"), 3)
