Give each shared part of a prompt a key of containment

Cause: of more than 24 shared parts only the first 12 and the last 12 had keys, so that the crashes had nothing in common that sound requests didn't have, too. The same class: keys within workspace, service and model were left out from nine parts on; strikes and trials were cut to 24 and 25 keys on their way to the other routers; the announcement of a probe held all blamed keys in one datagram; the record in the store held some of the keys that can't be told apart, so that a router that starts would have refused sound requests.

Change: each part has a key, up to 1,536; strikes and trials with more keys than a message may hold are sent as several, from one command of the control goroutine; blamed keys that can't be told apart are recorded together or not at all. Keys with the same crashes are judged as a group.

Ruled out: that the records of the other parts evict the fatal one's, or explain its crashes (TestEachKeyOfALongPromptCounts, 400 keys at three crashes).

--- a/internal/call/call_test.go
+++ b/internal/call/call_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"net/http"
+	"slices"
+	"strconv"
 	"testing"
 )
 
@@ -18,6 +20,23 @@
 	}
 }
 
+// What crashes instances may be any part of a prompt: each must have a key, wherever it is
+// and however many there are.
+func TestEachSharedPartHasAKey(t *testing.T) {
+	for _, n := range []int{1, 24, 25, 40, 129, 1536} {
+		var parts []string
+		for i := range n {
+			parts = append(parts, strconv.Itoa(i))
+		}
+		keys := SharedKeys(parts, []string{"workspace", "service"})
+		for _, part := range parts {
+			if !slices.Contains(keys, SharedKeys([]string{part}, nil)[0]) {
+				t.Errorf("of %d parts, part %s has no key", n, part)
+			}
+		}
+	}
+}
+
 func TestFingerprintDependsOnFieldBoundaries(t *testing.T) {
 	if Fingerprint([]byte("c"), "a", "b") == Fingerprint([]byte("c"), "ab", "") {
 		t.Error("the boundary between fields is ignored")
--- a/internal/call/fingerprint.go
+++ b/internal/call/fingerprint.go
@@ -32,21 +32,27 @@
 	return Fingerprint(c.Body, workspace, c.Method, c.Target)
 }
 
-// maxSharedKeys bounds the keys of one call.
-const maxSharedKeys = 24
+const (
+	// maxSharedParts bounds the parts of one call's prompt that have keys. It is more than
+	// a header of 16 KiB can list with IDs of eight digits.
+	maxSharedParts = 1536
+	// maxScopedParts bounds the parts that have keys within scopes, too.
+	maxScopedParts = 128
+)
 
 // SharedKeys returns hashes of what a call has in common with others: each of the given
 // parts of its prompt, alone and within each scope, such as the workspace. Of a prompt
-// with many parts only the parts themselves count, and of still more the first and the
-// last ones.
+// with more than maxScopedParts parts only the parts themselves count, and of one with
+// more than maxSharedParts the first and the last ones. Each part must have a key: what
+// crashes an upstream may be any of them.
 func SharedKeys(parts, scopes []string) []uint64 {
-	if len(parts)*(1+len(scopes)) > maxSharedKeys {
+	if len(parts) > maxScopedParts {
 		scopes = nil
 	}
-	if len(parts) > maxSharedKeys {
-		parts = append(parts[:maxSharedKeys/2:maxSharedKeys/2], parts[len(parts)-maxSharedKeys/2:]...)
+	if len(parts) > maxSharedParts {
+		parts = append(parts[:maxSharedParts/2:maxSharedParts/2], parts[len(parts)-maxSharedParts/2:]...)
 	}
-	var keys []uint64
+	keys := make([]uint64, 0, len(parts)*(1+len(scopes)))
 	for _, part := range parts {
 		keys = append(keys, Fingerprint(nil, part))
 		for i, scope := range scopes {
--- a/internal/containment/blame.go
+++ b/internal/containment/blame.go
@@ -49,48 +49,71 @@
 	var keys []uint64
 	// explained maps crashes to the highest number of strikes of a blamed key in flight.
 	explained := make(map[uint64]int)
-	suspects := c.strongest(now)
-	for _, s := range suspects {
-		own := slices.DeleteFunc(slices.Clone(s.crashes), func(crashID uint64) bool {
-			return explained[crashID] > len(s.crashes) || s.tiedAt(crashID, suspects)
+	groups := c.strongest(now)
+	for _, g := range groups {
+		own := slices.DeleteFunc(slices.Clone(g.crashes), func(crashID uint64) bool {
+			return explained[crashID] > len(g.crashes) || g.tiedAt(crashID, groups)
 		})
-		if c.distinctOf(s.record, own) < c.needed(s.record) {
+		blamed := len(keys)
+		for _, r := range g.records {
+			if c.distinctOf(r, own) >= c.needed(r) {
+				keys = append(keys, r.key)
+			}
+		}
+		if len(keys) == blamed {
 			continue
 		}
-		keys = append(keys, s.record.key)
-		for _, crashID := range s.crashes {
-			explained[crashID] = max(explained[crashID], len(s.crashes))
+		for _, crashID := range g.crashes {
+			explained[crashID] = max(explained[crashID], len(g.crashes))
 		}
 	}
 	slices.Sort(keys)
 	return keys
 }
 
-// suspectedKey is a key with the strikes to be blamed, and the crashes that count for it.
-type suspectedKey struct {
-	record  *record
+// suspectGroup holds the keys with the strikes to be blamed for which the same crashes
+// count, such as all parts of a long prompt.
+type suspectGroup struct {
+	shared  bool
+	records []*record
+	// crashes are the IDs of the crashes, in ascending order.
 	crashes []uint64
 }
 
-// tiedAt reports whether another suspect with as many crashes, of which some are others,
+// tiedAt reports whether another group with as many crashes, of which some are others,
 // was in flight at a crash. Only shared keys are tied.
-func (s suspectedKey) tiedAt(crashID uint64, suspects []suspectedKey) bool {
-	return s.record.shared && slices.ContainsFunc(suspects, func(o suspectedKey) bool {
-		return len(o.crashes) == len(s.crashes) && slices.Contains(o.crashes, crashID) &&
-			slices.ContainsFunc(o.crashes, func(other uint64) bool { return !slices.Contains(s.crashes, other) })
+func (g *suspectGroup) tiedAt(crashID uint64, groups []*suspectGroup) bool {
+	return g.shared && slices.ContainsFunc(groups, func(o *suspectGroup) bool {
+		return len(o.crashes) == len(g.crashes) && slices.Contains(o.crashes, crashID) && !slices.Equal(o.crashes, g.crashes)
 	})
 }
 
 // strongest returns the keys with the strikes to be blamed, those with the most first.
-func (c *Containment) strongest(now time.Time) []suspectedKey {
-	var suspects []suspectedKey
+func (c *Containment) strongest(now time.Time) []*suspectGroup {
+	type identity struct {
+		shared bool
+		hash   uint64
+	}
+	byCrashes := make(map[identity]*suspectGroup)
+	var groups []*suspectGroup
 	for key := range c.heavy {
-		if r := c.lookup(now, key); r != nil && c.enough(now, r) {
-			suspects = append(suspects, suspectedKey{record: r, crashes: r.counting(c.settled(now, r))})
+		r := c.lookup(now, key)
+		if r == nil || !c.enough(now, r) {
+			continue
+		}
+		crashes := r.counting(c.settled(now, r))
+		slices.Sort(crashes)
+		id := identity{shared: r.shared, hash: hashOf(crashes)}
+		g := byCrashes[id]
+		if g == nil {
+			g = &suspectGroup{shared: r.shared, crashes: crashes}
+			byCrashes[id] = g
+			groups = append(groups, g)
 		}
+		g.records = append(g.records, r)
 	}
-	slices.SortFunc(suspects, func(a, b suspectedKey) int { return len(b.crashes) - len(a.crashes) })
-	return suspects
+	slices.SortFunc(groups, func(a, b *suspectGroup) int { return len(b.crashes) - len(a.crashes) })
+	return groups
 }
 
 // refusalGrowth is the factor by which the refusal for shared keys grows with each crash
@@ -120,18 +143,27 @@
 // told apart from them, or nil if there are none.
 func (c *Containment) blamed(now time.Time, request Request) []uint64 {
 	all := request.all()
-	var blamed []uint64
-	if slices.ContainsFunc(all, func(key uint64) bool { return c.heavy[key] != nil }) {
-		blamed = c.blamedKeys(now)
+	if !slices.ContainsFunc(all, func(key uint64) bool { return c.heavy[key] != nil }) {
+		return nil
 	}
+	blamed := c.blamedKeys(now)
+	sorted := slices.Sorted(slices.Values(all))
+	has := func(key uint64) bool { _, found := slices.BinarySearch(sorted, key); return found }
+	// partial are the keys that the request has without all those equal to them.
+	partial := make(map[uint64]bool)
 	for _, key := range all {
-		if _, found := slices.BinarySearch(blamed, key); !found {
+		if _, found := slices.BinarySearch(blamed, key); !found || partial[key] {
 			continue
 		}
 		equals := c.equals(now, key)
-		if !slices.ContainsFunc(equals, func(other uint64) bool { return !slices.Contains(all, other) }) {
+		if !slices.ContainsFunc(equals, func(other uint64) bool { return !has(other) }) {
 			return equals
 		}
+		for _, other := range equals {
+			if c.records[other].shared == c.records[key].shared {
+				partial[other] = true
+			}
+		}
 	}
 	return nil
 }
@@ -160,6 +192,38 @@
 	return slices.Clone(c.struck[first])
 }
 
+// exportable returns those of some blamed keys whose strikes fit into a number of messages.
+// Of keys that can't be told apart it returns all or none: a daemon that knew only some of
+// them would refuse requests that have only those.
+func (c *Containment) exportable(now time.Time, blamed []uint64, messages int) []uint64 {
+	var sets [][]uint64
+	seen := make(map[uint64]bool)
+	for _, key := range blamed {
+		if seen[key] {
+			continue
+		}
+		var set []uint64
+		for _, other := range c.equals(now, key) {
+			if _, found := slices.BinarySearch(blamed, other); found && !seen[other] {
+				seen[other], set = true, append(set, other)
+			}
+		}
+		sets = append(sets, set)
+	}
+	size := func(set []uint64) int {
+		return (len(set) + maxKeysPerMessage - 1) / maxKeysPerMessage * c.records[set[0]].strikes()
+	}
+	slices.SortFunc(sets, func(a, b []uint64) int { return cmp.Or(size(a)-size(b), cmp.Compare(a[0], b[0])) })
+	var keys []uint64
+	for _, set := range sets {
+		if messages -= size(set); messages < 0 {
+			break
+		}
+		keys = append(keys, set...)
+	}
+	return keys
+}
+
 // byStrikes returns the keys with strikes that count, those with the most first.
 func (c *Containment) byStrikes(now time.Time) []uint64 {
 	var keys []uint64
@@ -186,7 +250,7 @@
 				continue
 			}
 			message := open[crashID]
-			if !r.shared || message == nil || len(message.Keys) >= maxKeysPerStrike {
+			if !r.shared || message == nil || len(message.Keys) >= maxKeysPerMessage {
 				if len(out) >= limit {
 					continue
 				}
--- a/internal/containment/containment.go
+++ b/internal/containment/containment.go
@@ -209,13 +209,27 @@
 	delete(c.running, upstream)
 	var strikes []*peerpb.Strike
 	for _, request := range inFlight {
-		strike := &peerpb.Strike{
-			Fingerprint: request.Fingerprint, Keys: request.Keys, Upstream: upstream, CrashId: crashID,
-			AgeMs: uint32(max(now.Sub(at), 0).Milliseconds()),
+		for _, strike := range strikesOf(request) {
+			strike.Upstream, strike.CrashId, strike.AgeMs = upstream, crashID, uint32(max(now.Sub(at), 0).Milliseconds())
+			if c.Merge(now, strike) {
+				strikes = append(strikes, strike)
+			}
 		}
-		if c.Merge(now, strike) {
-			strikes = append(strikes, strike)
+	}
+	return strikes
+}
+
+// strikesOf returns strikes for the fingerprint and all keys of a request, each with as
+// many keys as a message may have.
+func strikesOf(request Request) []*peerpb.Strike {
+	strikes := []*peerpb.Strike{{Fingerprint: request.Fingerprint}}
+	for keys := range slices.Chunk(request.Keys, maxKeysPerMessage) {
+		last := strikes[len(strikes)-1]
+		if len(last.Keys) > 0 {
+			last = &peerpb.Strike{}
+			strikes = append(strikes, last)
 		}
+		last.Keys = keys
 	}
 	return strikes
 }
@@ -227,8 +241,9 @@
 	return at, known
 }
 
-// maxKeysPerStrike bounds the keys in one strike, so that it fits in a datagram.
-const maxKeysPerStrike = 24
+// maxKeysPerMessage bounds the keys in one strike or trial, so that it fits in a datagram.
+// What has more keys takes several messages.
+const maxKeysPerMessage = 24
 
 // Merge records a strike reported by another daemon, and reports whether it was new
 // and should be forwarded.
@@ -236,7 +251,7 @@
 	at := now.Add(-time.Duration(s.GetAgeMs()) * time.Millisecond)
 	c.crashes.add(at, s.GetCrashId())
 	isNew := s.GetFingerprint() != 0 && c.strike(now, at, s.GetFingerprint(), s.GetCrashId(), false)
-	for _, key := range s.GetKeys()[:min(len(s.GetKeys()), maxKeysPerStrike)] {
+	for _, key := range s.GetKeys()[:min(len(s.GetKeys()), maxKeysPerMessage)] {
 		isNew = c.strike(now, at, key, s.GetCrashId(), true) || isNew
 	}
 	return isNew
@@ -246,34 +261,36 @@
 const maxClearedCrashes = 24
 
 // Finished clears the strikes of a request that an upstream has run to completion, and
-// returns the trial to send to the other daemons, or nil if no strike was cleared.
+// returns the trials to send to the other daemons, none if no strike was cleared.
 // The strikes stay known, so that they don't count when other daemons report them again.
 // A fingerprint that is refused stays so: the request had crashed upstreams alone.
-func (c *Containment) Finished(now time.Time, request Request) *peerpb.Trial {
+func (c *Containment) Finished(now time.Time, request Request) []*peerpb.Trial {
 	c.sound.add(now, request.Keys)
 	if len(c.records) == 0 {
 		return nil
 	}
-	trial := &peerpb.Trial{}
+	var keys, crashIDs []uint64
 	for _, key := range request.all() {
 		r := c.lookup(now, key)
 		if r == nil || r.strikes() == 0 || key == request.Fingerprint && c.refusedAlone(now, r) {
 			continue
 		}
-		trial.Keys = append(trial.Keys, key)
+		keys = append(keys, key)
 		for crashID, s := range r.crashes {
-			if s.counts && !slices.Contains(trial.CrashIds, crashID) && len(trial.CrashIds) < maxClearedCrashes {
-				trial.CrashIds = append(trial.CrashIds, crashID)
+			if s.counts && !slices.Contains(crashIDs, crashID) && len(crashIDs) < maxClearedCrashes {
+				crashIDs = append(crashIDs, crashID)
 			}
 		}
 	}
-	if len(trial.Keys) == 0 {
-		return nil
-	}
 	// In this order the trials of daemons that clear the same are one message.
-	slices.Sort(trial.CrashIds)
-	c.ApplyTrial(now, trial)
-	return trial
+	slices.Sort(crashIDs)
+	var trials []*peerpb.Trial
+	for some := range slices.Chunk(keys, maxKeysPerMessage) {
+		trial := &peerpb.Trial{Keys: some, CrashIds: crashIDs}
+		c.ApplyTrial(now, trial)
+		trials = append(trials, trial)
+	}
+	return trials
 }
 
 // refusedAlone reports whether a fingerprint has all strikes for a refusal.
@@ -290,7 +307,8 @@
 // MaxBlamedStrikes bounds the strikes that BlamedStrikes returns.
 const MaxBlamedStrikes = 32
 
-// BlamedStrikes returns the strikes of the blamed keys, each with its age.
+// BlamedStrikes returns the strikes of the blamed keys, each with its age, as far as those
+// of all keys that can't be told apart fit into MaxBlamedStrikes.
 func (c *Containment) BlamedStrikes(now time.Time) []*peerpb.Strike {
-	return c.export(now, c.blamedKeys(now), MaxBlamedStrikes)
+	return c.export(now, c.exportable(now, c.blamedKeys(now), MaxBlamedStrikes), MaxBlamedStrikes)
 }
--- a/internal/containment/probe.go
+++ b/internal/containment/probe.go
@@ -60,7 +60,9 @@
 	}
 	c.probes.begin(now, v.Blamed, c.settings.StrikeLifetime.Std())
 	c.probes.trials++
-	return &peerpb.Trial{Keys: v.Blamed, Id: hashOf([]uint64{uint64(c.probes.rank), c.probes.trials, uint64(now.UnixNano())})}
+	// The first key identifies the probe; all of them may not fit in a datagram.
+	keys := v.Blamed[:min(len(v.Blamed), maxKeysPerMessage)]
+	return &peerpb.Trial{Keys: keys, Id: hashOf([]uint64{uint64(c.probes.rank), c.probes.trials, uint64(now.UnixNano())})}
 }
 
 // ApplyTrial applies the trial of another daemon, and reports whether it changed anything.
@@ -75,7 +77,7 @@
 		c.probes.begin(now, t.GetKeys(), c.settings.StrikeLifetime.Std())
 		return true
 	}
-	keys := t.GetKeys()[:min(len(t.GetKeys()), maxKeysPerStrike+1)]
+	keys := t.GetKeys()[:min(len(t.GetKeys()), maxKeysPerMessage+1)]
 	c.sound.add(now, keys)
 	isNew := false
 	for _, key := range keys {
--- a/internal/containment/shared_test.go
+++ b/internal/containment/shared_test.go
@@ -175,7 +175,7 @@
 			f.crash(c.engine)
 		case !c.fatal && !f.now.Before(c.endsAt):
 			c.done = true
-			if a := f.routers[c.router].Finished(f.now, c.request); a != nil {
+			for _, a := range f.routers[c.router].Finished(f.now, c.request) {
 				f.spread(c.router, sharingNews{trial: a})
 			}
 		}
@@ -446,11 +446,11 @@
 	keys := []uint64{1}
 	first, second := New(DefaultSettings()), New(DefaultSettings())
 	now := strikesAt(first, threeCrashes, keys, keys, keys)
-	trial := first.Finished(now, Request{Fingerprint: 10, Keys: keys})
-	if trial == nil {
-		t.Fatal("no trial")
+	trials := first.Finished(now, Request{Fingerprint: 10, Keys: keys})
+	if len(trials) != 1 {
+		t.Fatalf("%d trials", len(trials))
 	}
-	second.ApplyTrial(now, trial)
+	second.ApplyTrial(now, trials[0])
 	strikesAt(second, threeCrashes, keys, keys, keys)
 	for i, c := range []*Containment{first, second} {
 		if v := c.Check(now, Request{Fingerprint: 11, Keys: keys}); v.Kind != Allowed {
@@ -459,6 +459,101 @@
 	}
 }
 
+// A request may have more keys than fit in one message. All routers must know each of them:
+// if one were left out, what crashes engines might be just that one.
+func TestEachKeyOfALongPromptCounts(t *testing.T) {
+	const parts, culprit = 400, 200
+	var all, others []uint64
+	for key := range uint64(parts) {
+		all = append(all, 1000+key)
+		if key != culprit {
+			others = append(others, 1000+key)
+		}
+	}
+	first, second := New(DefaultSettings()), New(DefaultSettings())
+	now := start
+	for i, at := range threeCrashes {
+		now = start.Add(at)
+		for _, s := range first.Crash(now, now, "engine", uint64(i+1), []Request{{Fingerprint: uint64(10 + i), Keys: all}}) {
+			if len(s.GetKeys()) > maxKeysPerMessage {
+				t.Fatalf("a strike has %d keys", len(s.GetKeys()))
+			}
+			second.Merge(now, s)
+		}
+	}
+	now = now.Add(defaultSpreadTime)
+	fatal, sound := Request{Fingerprint: 100, Keys: all}, Request{Fingerprint: 101, Keys: others}
+	for i, c := range []*Containment{first, second} {
+		if bad, good := c.Check(now, fatal), c.Check(now, sound); bad.Kind != Refused || good.Kind == Refused {
+			t.Errorf("router %d, before a sound request: %+v, %+v", i, bad.Kind, good.Kind)
+		}
+	}
+	for _, trial := range first.Finished(now, sound) {
+		if len(trial.GetKeys()) > maxKeysPerMessage {
+			t.Fatalf("a trial has %d keys", len(trial.GetKeys()))
+		}
+		second.ApplyTrial(now, trial)
+	}
+	alone := Request{Fingerprint: 102, Keys: []uint64{1000 + culprit}}
+	for i, c := range []*Containment{first, second} {
+		if v := c.Check(now, alone); v.Kind != Refused || !slices.Equal(v.Blamed, alone.Keys) {
+			t.Errorf("router %d, the culprit alone: %+v", i, v)
+		}
+		if v := c.Check(now, sound); v.Kind != Allowed {
+			t.Errorf("router %d, a sound request: %+v", i, v)
+		}
+	}
+}
+
+// A router that starts learns of blamed keys that can't be told apart all or none: with
+// some of them only it would refuse sound requests that lack the one that crashes engines.
+func TestBlamedKeysAreExportedTogether(t *testing.T) {
+	for _, parts := range []int{20, 40, 2000} {
+		var keys []uint64
+		for key := range uint64(parts) {
+			keys = append(keys, 1000+key)
+		}
+		c, started := New(DefaultSettings()), New(DefaultSettings())
+		now := start
+		for i, at := range threeCrashes {
+			now = start.Add(at)
+			c.Crash(now, now, "engine", uint64(i+1), []Request{{Fingerprint: uint64(10 + i), Keys: keys}})
+		}
+		now = now.Add(defaultSpreadTime)
+		strikes := c.BlamedStrikes(now)
+		for _, s := range strikes {
+			started.Merge(now, s)
+		}
+		fatal, sound := Request{Fingerprint: 100, Keys: keys}, Request{Fingerprint: 101, Keys: keys[:parts-1]}
+		if v := started.Check(now, sound); v.Kind == Refused {
+			t.Errorf("%d keys: a sound request is refused", parts)
+		}
+		if v := started.Check(now, fatal); len(strikes) > MaxBlamedStrikes || len(strikes) > 0 && v.Kind != Refused {
+			t.Errorf("%d keys: %d messages, %+v", parts, len(strikes), v.Kind)
+		}
+	}
+}
+
+// BenchmarkCheckOfALongPrompt measures the check of a request with as many keys as one may
+// have, all of which are blamed.
+func BenchmarkCheckOfALongPrompt(b *testing.B) {
+	const parts = 1536
+	var keys []uint64
+	for key := range uint64(parts) {
+		keys = append(keys, 1000+key)
+	}
+	c := New(DefaultSettings())
+	now := start
+	for i, at := range threeCrashes {
+		now = start.Add(at)
+		c.Crash(now, now, "engine", uint64(i+1), []Request{{Fingerprint: uint64(10 + i), Keys: keys}})
+	}
+	now = now.Add(defaultSpreadTime)
+	for b.Loop() {
+		c.Check(now, Request{Fingerprint: 100, Keys: keys[1:]})
+	}
+}
+
 // After the refusal one router of the fleet probes, and the others hear of it. The next
 // refusal is longer.
 func TestOneProbeInTheFleetAfterRefusal(t *testing.T) {
@@ -546,7 +641,7 @@
 	c.Merge(start, &peerpb.Strike{})
 	c.ApplyTrial(start, &peerpb.Trial{})
 	c.ApplyTrial(start, &peerpb.Trial{Keys: many, CrashIds: many})
-	if len(c.records) > 10*maxKeysPerStrike {
+	if len(c.records) > 10*maxKeysPerMessage {
 		t.Errorf("%d records from four messages", len(c.records))
 	}
 }
--- a/internal/daemon/crashguard.go
+++ b/internal/daemon/crashguard.go
@@ -98,12 +98,12 @@
 
 // Finish implements owner.CrashGuard.
 func (g *crashGuard) Finish(now time.Time, upstream string, request containment.Request, end owner.End) {
-	if trial := g.recordFinish(now, upstream, request, end); trial != nil {
+	for _, trial := range g.recordFinish(now, upstream, request, end) {
 		g.cluster.PublishTrial(trial)
 	}
 }
 
-func (g *crashGuard) recordFinish(now time.Time, upstream string, request containment.Request, end owner.End) *peerpb.Trial {
+func (g *crashGuard) recordFinish(now time.Time, upstream string, request containment.Request, end owner.End) []*peerpb.Trial {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.removeRunning(upstream, request)
--- a/internal/dispatch/balancer.go
+++ b/internal/dispatch/balancer.go
@@ -33,12 +33,12 @@
 	LastResortPeriod time.Duration
 	Containment      containment.Settings
 	Log              *decisionlog.Log
-	// OnStrike is called for each strike to send to the other routers. It must
+	// OnStrikes is called with the strikes of one crash to send to the other routers. It
+	// must not block.
+	OnStrikes func([]*peerpb.Strike)
+	// OnTrials is called with the trials of one call to send to the other routers. It must
 	// not block.
-	OnStrike func(*peerpb.Strike)
-	// OnTrial is called for each trial to send to the other routers. It must
-	// not block.
-	OnTrial func(*peerpb.Trial)
+	OnTrials func([]*peerpb.Trial)
 	// OnDigestChange is called when instances are about to cache prompt parts
 	// that the other routers don't know of. It must not block.
 	OnDigestChange func()
@@ -90,11 +90,11 @@
 	if o.Now == nil {
 		o.Now = time.Now
 	}
-	if o.OnStrike == nil {
-		o.OnStrike = func(*peerpb.Strike) {}
+	if o.OnStrikes == nil {
+		o.OnStrikes = func([]*peerpb.Strike) {}
 	}
-	if o.OnTrial == nil {
-		o.OnTrial = func(*peerpb.Trial) {}
+	if o.OnTrials == nil {
+		o.OnTrials = func([]*peerpb.Trial) {}
 	}
 	if o.Registry == nil {
 		o.Registry = metrics.NewRegistry()
--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -51,7 +51,7 @@
 		b.options.Log.Decision("call probes whether it still crashes instances", decisionlog.Fields{
 			"fingerprint": r.Fingerprint, "blamed": formatKeys(v.Blamed), "strikes": v.Strikes,
 		})
-		b.options.OnTrial(trial)
+		b.options.OnTrials([]*peerpb.Trial{trial})
 	}
 	return v
 }
@@ -60,16 +60,20 @@
 // completion.
 func (b *Balancer) recordCompletion(c *call.Call, r containment.Request) {
 	b.mu.Lock()
-	trial := b.containment.Finished(b.options.Now(), r)
+	trials := b.containment.Finished(b.options.Now(), r)
 	b.mu.Unlock()
-	if trial == nil {
+	if len(trials) == 0 {
 		return
 	}
 	b.acquittals.Inc(1)
+	keys := 0
+	for _, trial := range trials {
+		keys += len(trial.GetKeys())
+	}
 	b.options.Log.Decision("call cleared of crashes", decisionlog.Fields{
-		"call": c.ID, "keys": formatKeys(trial.GetKeys()), "crashes": len(trial.GetCrashIds()),
+		"call": c.ID, "keys": formatKeys(trials[0].GetKeys()), "all_keys": keys, "crashes": len(trials[0].GetCrashIds()),
 	})
-	b.options.OnTrial(trial)
+	b.options.OnTrials(trials)
 }
 
 // recordCrash adds a strike to a call whose instance crashed while running it. A call
@@ -89,17 +93,24 @@
 	strikes := b.containment.Crash(now, c.at, c.instance.ID, crash, []containment.Request{c.identity})
 	verdict := b.containment.Check(now, c.identity)
 	b.mu.Unlock()
-	for _, strike := range strikes {
-		b.strikes.Inc(1)
-		b.options.Log.Decision("call suspected of a crash", decisionlog.Fields{
-			"call": c.call.ID, "instance": c.instance.ID, "evidence": evidence, "fingerprint": c.identity.Fingerprint,
-			"shared_parts": c.call.Prompt.SharedIDs(), "strikes": verdict.Strikes,
-			"blamed": formatKeys(verdict.Blamed), "blamed_parts": blamedParts(c.call, verdict.Blamed),
-		})
-		b.options.OnStrike(strike)
+	if len(strikes) == 0 {
+		return
 	}
+	b.strikes.Inc(1)
+	b.options.Log.Decision("call suspected of a crash", decisionlog.Fields{
+		"call": c.call.ID, "instance": c.instance.ID, "evidence": evidence, "fingerprint": c.identity.Fingerprint,
+		"shared_parts": loggedParts(c.call.Prompt.SharedIDs()), "keys": len(c.identity.Keys), "strikes": verdict.Strikes,
+		"blamed": formatKeys(verdict.Blamed), "blamed_parts": blamedParts(c.call, verdict.Blamed),
+	})
+	b.options.OnStrikes(strikes)
 }
 
+// maxLoggedKeys bounds the keys and the parts of a prompt in one log line.
+const maxLoggedKeys = 24
+
+// loggedParts returns the IDs of parts as they appear in logs.
+func loggedParts(ids []string) []string { return ids[:min(len(ids), maxLoggedKeys)] }
+
 // departs reports whether an instance leaves as planned.
 func (b *Balancer) departs(i instances.Instance) bool {
 	b.mu.Lock()
@@ -182,7 +193,7 @@
 // formatKeys returns the keys of containment as they appear in logs.
 func formatKeys(keys []uint64) []string {
 	var out []string
-	for _, key := range keys {
+	for _, key := range keys[:min(len(keys), maxLoggedKeys)] {
 		out = append(out, strconv.FormatUint(key, 16))
 	}
 	return out
@@ -192,9 +203,9 @@
 func blamedParts(c *call.Call, blamed []uint64) []string {
 	var out []string
 	for _, part := range c.Prompt.SharedIDs() {
-		if slices.Contains(blamed, call.SharedKeys([]string{part}, nil)[0]) {
+		if len(blamed) > 0 && slices.Contains(blamed, call.SharedKeys([]string{part}, nil)[0]) {
 			out = append(out, part)
 		}
 	}
-	return out
+	return loggedParts(out)
 }
--- a/internal/dispatch/crashcheck.go
+++ b/internal/dispatch/crashcheck.go
@@ -77,7 +77,7 @@
 	}
 	e.run.dispatcher.options.Log.Decision("instance dialed after a broken connection", decisionlog.Fields{
 		"call": c.call.ID, "instance": c.instance.ID, "address": c.instance.Address, "found": found,
-		"departs": c.departs, "shared_parts": c.call.Prompt.SharedIDs(), "response_began": !e.firstByte.IsZero(),
+		"departs": c.departs, "shared_parts": loggedParts(c.call.Prompt.SharedIDs()), "response_began": !e.firstByte.IsZero(),
 	})
 }
 
--- a/internal/edge/control.go
+++ b/internal/edge/control.go
@@ -20,9 +20,9 @@
 	apply(c *control, now time.Time)
 }
 
-type strikeDetected struct{ strike *peerpb.Strike }
+type crashDetected struct{ strikes []*peerpb.Strike }
 
-type trialRecorded struct{ trial *peerpb.Trial }
+type trialsRecorded struct{ trials []*peerpb.Trial }
 
 type leaveAnnounced struct{}
 
@@ -161,15 +161,25 @@
 	return d
 }
 
-func (s strikeDetected) apply(c *control, now time.Time) {
+// apply sends the strikes at once, in as many digests as they take.
+func (d crashDetected) apply(c *control, now time.Time) {
 	c.crashRecord.struck = true
-	c.news.AddStrike(now, s.strike)
-	c.send(now, c.members.Targets())
+	for strikes := range slices.Chunk(d.strikes, strikesPerDigest) {
+		for _, strike := range strikes {
+			c.news.AddStrike(now, strike)
+		}
+		c.send(now, c.members.Targets())
+	}
 }
 
-func (a trialRecorded) apply(c *control, now time.Time) {
-	c.news.AddTrial(now, a.trial)
-	c.send(now, c.members.Targets())
+// apply sends the trials at once, in as many digests as they take.
+func (r trialsRecorded) apply(c *control, now time.Time) {
+	for trials := range slices.Chunk(r.trials, trialsPerDigest) {
+		for _, trial := range trials {
+			c.news.AddTrial(now, trial)
+		}
+		c.send(now, c.members.Targets())
+	}
 }
 
 func (leaveAnnounced) apply(c *control, now time.Time) {
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -99,8 +99,8 @@
 	e.balancer = dispatch.NewBalancer(dispatch.BalancerOptions{
 		Location: o.Settings.Location, RetryBudget: o.Settings.RetryBudget, Containment: containment.DefaultSettings(),
 		LastResortPeriod: o.Settings.DrainPeriod / lastResortDivisor,
-		Log:              o.Log, OnStrike: func(s *peerpb.Strike) { e.post(strikeDetected{strike: s}) },
-		OnTrial: func(a *peerpb.Trial) { e.post(trialRecorded{trial: a}) }, Registry: o.Registry,
+		Log:              o.Log, OnStrikes: func(s []*peerpb.Strike) { e.post(crashDetected{strikes: s}) },
+		OnTrials: func(a []*peerpb.Trial) { e.post(trialsRecorded{trials: a}) }, Registry: o.Registry,
 		OnDigestChange: e.scheduleDigest,
 	})
 	e.pool = upstream.NewPool(o.Registry)
