Check each entry of a list by itself, and what its numbers and addresses meet

Here no process ended, but one item that can't be decoded failed the store's whole list or watch, so that the router stopped following the store; entries with a port of 0, with 0.0.0.0, with slots of 2^63-1 or with a start beyond any clock were taken for engines; loads of engines, times and token counts overflowed; a revision that no store can have was taken for another era, and the list was read again without a pause. On the own interface one odd host hid all others.

Cause: lists were decoded as a whole, and values were checked for their type only.

Change: entries, items and hosts are decoded and checked one by one, and skipped, counted and logged with a bounded text if they are invalid. Addresses of engines, routers and hosts are checked in internal/hostport. Times and counts are bounded where they are decoded, revisions checked where they come in, from the store and from routers.

Ruled out: deep nesting ends no process, the JSON decoder bounds it.

--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -118,6 +118,8 @@
 	EventStream bool
 	// Load is nil if the instance reported none.
 	Load *Load
+	// InvalidLoad is what the instance sent in place of a valid load, empty otherwise.
+	InvalidLoad string
 	// Leaving is set if the instance says that it leaves.
 	Leaving bool
 	// Pause is for how long the instance wants no more calls from this router, zero
--- a/internal/cluster/loop.go
+++ b/internal/cluster/loop.go
@@ -243,6 +243,11 @@
 	if !c.result.Changed {
 		return
 	}
+	if c.result.Skipped > 0 {
+		l.counter("list.entries_skipped").Inc(int64(c.result.Skipped))
+		l.options.Logger.WithFields(logrus.Fields{"entries": c.result.Skipped, "last": c.result.Problem, "valid": len(c.result.Hosts)}).
+			Warn("invalid entries of the host list skipped")
+	}
 	first := !l.hostListLoaded
 	if first {
 		l.hostListLoaded, l.topologyDirty = true, true
--- a/internal/dispatch/metrics.go
+++ b/internal/dispatch/metrics.go
@@ -21,6 +21,8 @@
 	total     metrics.Histogram
 	// invalidPauses counts responses whose pause can't be decoded or is too long.
 	invalidPauses metrics.Counter
+	// invalidLoads counts responses whose load can't be decoded.
+	invalidLoads metrics.Counter
 	// invalidRateLimits counts responses whose rate limit can't be decoded.
 	invalidRateLimits metrics.Counter
 	// expiredPermits counts permits that were not used in time.
@@ -39,6 +41,7 @@
 		total:     histogram("calls.whole.microseconds"),
 
 		invalidPauses:     metrics.GetOrRegisterCounter("sends.invalid_pause", registry),
+		invalidLoads:      metrics.GetOrRegisterCounter("sends.invalid_load", registry),
 		invalidRateLimits: metrics.GetOrRegisterCounter("sends.invalid_rate_limit", registry),
 		expiredPermits:    metrics.GetOrRegisterCounter("permits.expired", registry),
 	}
--- a/internal/dispatch/send.go
+++ b/internal/dispatch/send.go
@@ -177,6 +177,12 @@
 	if e.reply.InvalidRateLimit != "" {
 		d.metrics.invalidRateLimits.Inc(1)
 	}
+	if e.reply.InvalidLoad != "" {
+		d.metrics.invalidLoads.Inc(1)
+		d.options.Log.Detail("invalid load of an instance", decisionlog.Fields{
+			"call": e.run.call.ID, "instance": e.pick.instance.ID, "value": e.reply.InvalidLoad,
+		})
+	}
 	d.options.Balancer.recordReply(e.pick, e.reply)
 	d.options.Balancer.recordRateLimit(e.pick, e.run.call.ID, e.startedAt, e.reply)
 }
--- a/internal/hostlist/client.go
+++ b/internal/hostlist/client.go
@@ -48,6 +48,10 @@
 	// failed; Hosts is then empty.
 	Changed bool
 	Hosts   []Host
+	// Skipped is the number of entries that describe no host, Problem the reason for the
+	// last of them.
+	Skipped int
+	Problem string
 	// Bytes is the number of bytes of the request and the response on the wire,
 	// also for a failed poll.
 	Bytes int
@@ -88,8 +92,9 @@
 		return Result{Bytes: PollOverheadBytes}, nil
 	}
 	counted := &countingReader{reader: response.Body}
-	hosts, err := readHosts(response, counted)
-	result := Result{Changed: err == nil, Hosts: hosts, Bytes: PollOverheadBytes + counted.bytes}
+	entries, err := readEntries(response, counted)
+	result := Result{Changed: err == nil, Bytes: PollOverheadBytes + counted.bytes}
+	result.decode(entries)
 	if err != nil {
 		return result, errors.Wrap(ErrUnavailable, err.Error())
 	}
@@ -97,8 +102,8 @@
 	return result, nil
 }
 
-// readHosts decodes the hosts in body, the body of a response.
-func readHosts(response *http.Response, body io.Reader) ([]Host, error) {
+// readEntries returns the undecoded entries in body, the body of a response.
+func readEntries(response *http.Response, body io.Reader) ([]json.RawMessage, error) {
 	if response.StatusCode != http.StatusOK {
 		return nil, errors.Errorf("status %d", response.StatusCode)
 	}
@@ -109,13 +114,36 @@
 		}
 		body = unzipped
 	}
-	var list List
+	var list struct {
+		Hosts []json.RawMessage `json:"hosts"`
+	}
 	if err := json.NewDecoder(io.LimitReader(body, MaxListBytes)).Decode(&list); err != nil {
 		return nil, err
 	}
 	return list.Hosts, nil
 }
 
+// decode decodes the entries of a list. It skips those that describe no host, so that one of
+// them doesn't hide the others.
+func (r *Result) decode(entries []json.RawMessage) {
+	for _, entry := range entries {
+		var h Host
+		err := json.Unmarshal(entry, &h)
+		if err == nil {
+			err = h.check()
+		}
+		if err != nil {
+			r.Skipped++
+			r.Problem = err.Error()[:min(len(err.Error()), maxProblemBytes)]
+			continue
+		}
+		r.Hosts = append(r.Hosts, h)
+	}
+}
+
+// maxProblemBytes bounds the description of an entry that is skipped.
+const maxProblemBytes = 200
+
 // countingReader counts the bytes that are read from reader.
 type countingReader struct {
 	reader io.Reader
--- a/internal/hostlist/hostlist.go
+++ b/internal/hostlist/hostlist.go
@@ -2,6 +2,16 @@
 // it. The list lags behind the actual state by seconds.
 package hostlist
 
+import (
+	"slices"
+	"strings"
+	"unicode"
+
+	"github.com/pkg/errors"
+
+	"github.com/verbenatrail/verbenatrail/internal/hostport"
+)
+
 // Kind is the kind of process that runs on a host.
 type Kind string
 
@@ -36,6 +46,24 @@
 	State         State  `json:"state"`
 }
 
+// check returns why an entry describes no host.
+func (h Host) check() error {
+	switch {
+	case h.Name == "" || strings.ContainsFunc(h.Name, unicode.IsControl):
+		return errors.Errorf("the name is %q: a name without control characters is expected", h.Name)
+	case !slices.Contains([]Kind{KindRouter, KindDirectory, KindEngine, KindService}, h.Kind):
+		return errors.Errorf("%s has the unknown kind %q", h.Name, h.Kind)
+	case h.State != StateLive && h.State != StateLeaving:
+		return errors.Errorf("%s has the unknown state %q: live or leaving is expected", h.Name, h.State)
+	}
+	for _, address := range []string{h.Address, h.PeerAddress} {
+		if _, err := hostport.Parse(address); err != nil && address != "" {
+			return errors.Wrapf(err, "address of %s", h.Name)
+		}
+	}
+	return nil
+}
+
 // List is the body of GET /v1/hosts.
 type List struct {
 	Hosts []Host `json:"hosts"`
--- a/internal/peering/link.go
+++ b/internal/peering/link.go
@@ -11,6 +11,7 @@
 	"github.com/rcrowley/go-metrics"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/verbenatrail/verbenatrail/internal/hostport"
 	"github.com/verbenatrail/verbenatrail/internal/kv"
 	"github.com/verbenatrail/verbenatrail/internal/peer"
 	"github.com/verbenatrail/verbenatrail/internal/peerpb"
@@ -142,7 +143,7 @@
 		return
 	}
 	for _, address := range to {
-		target, err := netip.ParseAddrPort(address)
+		target, err := hostport.Parse(address)
 		if err != nil {
 			l.malformed.Inc(1)
 			continue
@@ -187,7 +188,7 @@
 	}
 	news := News{Strikes: d.GetStrikes(), Trials: d.GetTrials(), RateLimits: d.GetRateLimits()}
 	if state := d.GetState(); state != nil {
-		if !validEras(state) {
+		if !validRevisions(state) {
 			return Received{}, false
 		}
 		return Received{Router: Router{Name: d.GetFrom(), Incarnation: d.GetIncarnation()}, State: state, News: news}, true
@@ -196,7 +197,8 @@
 		return Received{}, false
 	}
 	digest := d.GetDigest()
-	if _, err := netip.ParseAddrPort(digest.GetPeerAddress()); err != nil || !validEra(digest.GetEra()) {
+	if !validAddresses(digest) || !validRevision(digest.GetEra(), digest.GetStateRevision()) ||
+		!validRevision(digest.GetEra(), digest.GetChangedRevision()) {
 		return Received{}, false
 	}
 	return Received{
@@ -212,10 +214,23 @@
 	}, true
 }
 
-func validEras(s *peerpb.StateResponse) bool {
-	return validEra(s.GetEra()) && validEra(s.GetFromEra()) &&
-		!slices.ContainsFunc(s.GetEntries(), func(e *peerpb.StateEntry) bool { return !validEra(e.GetEra()) })
+// validAddresses reports whether a router can be reached at the addresses that it names.
+// One that serves no callers names none for them.
+func validAddresses(d *peerpb.Digest) bool {
+	if _, err := hostport.Parse(d.GetPeerAddress()); err != nil {
+		return false
+	}
+	_, err := hostport.Parse(d.GetCallerAddress())
+	return err == nil || d.GetCallerAddress() == ""
 }
 
-// validEra reports whether a revision can hold an era.
-func validEra(era int64) bool { return era >= 0 && era <= kv.MaxEra }
+func validRevisions(s *peerpb.StateResponse) bool {
+	return validRevision(s.GetEra(), s.GetRevision()) && validRevision(s.GetFromEra(), s.GetFromRevision()) &&
+		validRevision(s.GetEra(), s.GetChangedRevision()) &&
+		!slices.ContainsFunc(s.GetEntries(), func(e *peerpb.StateEntry) bool { return !validRevision(e.GetEra(), e.GetRevision()) })
+}
+
+// validRevision reports whether a store can have had a revision in an era.
+func validRevision(era, raw int64) bool {
+	return era >= 0 && era <= kv.MaxEra && raw >= 0 && raw <= kv.MaxRawRevision
+}
--- a/internal/peering/state.go
+++ b/internal/peering/state.go
@@ -53,8 +53,8 @@
 		return nil, ErrBusy
 	}
 	response, err = decompress(response)
-	if err == nil && !validEras(response) {
-		return nil, errors.New("state response of a router has an invalid era: update or restart that router")
+	if err == nil && !validRevisions(response) {
+		return nil, errors.New("state response of a router has an invalid era or revision: update or restart that router")
 	}
 	return response, err
 }
--- a/internal/steward/engines.go
+++ b/internal/steward/engines.go
@@ -65,6 +65,9 @@
 	if err != nil || !list.Changed {
 		return nil, false, err
 	}
+	if list.Skipped > 0 {
+		s.options.Logger.WithField("entries", list.Skipped).WithField("last", list.Problem).Warn("invalid entries of the host list skipped")
+	}
 	addresses := make(map[string]string)
 	for _, host := range list.Hosts {
 		if host.Kind == hostlist.KindEngine && host.State == hostlist.StateLive {
--- a/internal/upstream/keepalive.go
+++ b/internal/upstream/keepalive.go
@@ -11,6 +11,9 @@
 // the peer closes the connection.
 const keepAliveClose = -1
 
+// maxKeepAliveSeconds bounds the time that a peer names, so that it doesn't overflow.
+const maxKeepAliveSeconds = 3600
+
 // KeepAliveTimeout returns the time for which the peer keeps the idle connection
 // open, as given in the response's Keep-Alive header. It is zero if the header
 // gives none, and negative if the peer closes the connection after the response.
@@ -24,7 +27,7 @@
 			continue
 		}
 		if seconds, err := strconv.Atoi(strings.TrimSpace(value)); err == nil && seconds > 0 {
-			return time.Duration(seconds) * time.Second
+			return time.Duration(min(seconds, maxKeepAliveSeconds)) * time.Second
 		}
 	}
 	return 0
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -339,6 +339,8 @@
 	}{
 		{"", false, 0}, {"max=5, timeout=7", false, 7 * time.Second}, {"Timeout = 3", false, 0}, {"timeout=x", false, 0},
 		{"timeout=-1", false, 0}, {"timeout=7", true, keepAliveClose},
+		// Times that would overflow.
+		{"timeout=9223372036854775807", false, time.Hour}, {"timeout=9223372037", false, time.Hour},
 	}
 	for _, tc := range cases {
 		r := &http.Response{Header: http.Header{"Keep-Alive": {tc.field}}, Close: tc.close}
