Never let a call without a whole response look complete

Cause: the HTTP server ends the context of a call when the caller's side ends, the call is given up, and the server completes the response of a handler that returns.

Change: a response is complete only if it was said to be; else the connection is closed without its end, and reset for a caller that speaks HTTP/1.0, to whom the end of the connection is that of the response.

Ruled out: to serve such callers to the end. The end of their side can't be told from that of their connection, and engines must not work on for callers that have left.

--- a/internal/ingress/conntracker.go
+++ b/internal/ingress/conntracker.go
@@ -90,6 +90,18 @@
 	tracker *connTracker
 }
 
+// reset closes a connection so that its peer gets an error in place of the end.
+func reset(conn net.Conn) {
+	if tracked, ok := conn.(*trackedConn); ok {
+		conn = tracked.Conn
+	}
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		// Errors are ignored: a connection that takes no option is closed already.
+		_ = tcp.SetLinger(0)
+	}
+	_ = conn.Close()
+}
+
 // Read implements net.Conn.
 func (c *trackedConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -184,11 +184,25 @@
 	}
 	out := &responder{w: w, codec: s.options.Codec, call: c, leaving: &s.leaving, log: s.options.Log}
 	s.options.Dispatcher.Serve(r.Context(), c, out)
-	if out.aborted {
-		// Closes the connection without terminating the response, so that the caller
-		// sees it as incomplete.
+	if !out.complete() {
+		abort(w, r)
+	}
+}
+
+// abort closes the connection of a call without a whole response, so that the caller sees
+// that it is incomplete: if the handler returned, the server would end the response, and
+// write an empty 200 if there is none. For a caller that speaks HTTP/1.0 the end of the
+// connection is that of the response, which is why it is reset. It doesn't return unless
+// the connection is reset.
+func abort(w http.ResponseWriter, r *http.Request) {
+	if r.ProtoAtLeast(1, 1) {
+		panic(http.ErrAbortHandler)
+	}
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
 		panic(http.ErrAbortHandler)
 	}
+	reset(conn)
 }
 
 // readBody reads a request's body within the configured limits and the memory that all
--- a/internal/ingress/responder.go
+++ b/internal/ingress/responder.go
@@ -20,11 +20,15 @@
 	call    *call.Call
 	leaving *atomic.Bool
 	log     *decisionlog.Log
-	// begun is set once the head of the response is written.
+	// begun is set once the head of the response is written, whole once all of it is.
 	begun   bool
+	whole   bool
 	aborted bool
 }
 
+// complete reports whether the caller may take the response for a whole one.
+func (r *responder) complete() bool { return r.whole && !r.aborted }
+
 // errSecondResponse means that a call got a response although it already has one, or the
 // beginning of one.
 var errSecondResponse = errors.New("a response has already begun: it is aborted, and the call must be sent again")
@@ -71,6 +75,7 @@
 	if r.call.Method != http.MethodHead {
 		r.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	}
+	r.whole = true
 	r.w.WriteHeader(status)
 	if len(body) == 0 || r.call.Method == http.MethodHead {
 		return
@@ -107,7 +112,7 @@
 }
 
 // EndStream implements dispatch.Responder.
-func (r *responder) EndStream() {}
+func (r *responder) EndStream() { r.whole = true }
 
 // Abort implements dispatch.Responder.
 func (r *responder) Abort() { r.aborted = true }
@@ -117,5 +122,6 @@
 	if !r.begin("refusal") {
 		return
 	}
+	r.whole = true
 	r.codec.WriteRefusal(r.w, r.call.ID, refused)
 }
--- a/internal/ingress/responder_test.go
+++ b/internal/ingress/responder_test.go
@@ -1,12 +1,18 @@
 package ingress
 
 import (
+	"bufio"
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
+	"syscall"
 	"testing"
+	"time"
 
+	"github.com/pkg/errors"
 	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 
@@ -81,3 +87,93 @@
 		}
 	}
 }
+
+// A caller that closes its sending side, or whose call is given up for another reason, must
+// not get the response that the HTTP server writes for a handler that returns: an empty 200,
+// or the end of a stream in progress (review/4).
+func TestCallWithoutAWholeResponseNeverLooksComplete(t *testing.T) {
+	const event = "id: 1\ndata: x\n\n"
+	for name, begin := range map[string]func(out dispatch.Responder) error{
+		"nothing": func(dispatch.Responder) error { return nil },
+		"a head": func(out dispatch.Responder) error {
+			out.StartStream(http.StatusOK, http.Header{})
+			return nil
+		},
+		"an event": func(out dispatch.Responder) error {
+			out.StartStream(http.StatusOK, http.Header{})
+			return out.WriteEvent([]byte(event), true)
+		},
+		"an event not yet sent": func(out dispatch.Responder) error {
+			out.StartStream(http.StatusOK, http.Header{})
+			return out.WriteEvent([]byte(event), false)
+		},
+	} {
+		for _, protocol := range []string{"HTTP/1.1", "HTTP/1.0"} {
+			address := serve(t, func(ctx context.Context, out dispatch.Responder) {
+				if err := begin(out); err != nil {
+					t.Error(err)
+				}
+				<-ctx.Done()
+			})
+			received, err := callRaw(t, address, protocol, true)
+			if complete(received, err) {
+				t.Errorf("%s after %s: %q, error %v; want an end that shows that the response is incomplete", protocol, name, received, err)
+			}
+		}
+	}
+}
+
+// callRaw sends a call and returns all that comes. If halfClose is set, it closes the sending
+// side of the connection.
+func callRaw(t *testing.T, address, protocol string, halfClose bool) (string, error) {
+	t.Helper()
+	conn, err := net.Dial("tcp4", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	if err := conn.SetReadDeadline(time.Now().Add(10 * time.Second)); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.WriteString(conn, "GET / "+protocol+"\r\nHost: h\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	if halfClose {
+		// The call is served before the end of the caller's side arrives.
+		time.Sleep(50 * time.Millisecond)
+		if err := conn.(*net.TCPConn).CloseWrite(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	received, err := io.ReadAll(conn)
+	return string(received), err
+}
+
+// complete reports whether a caller would take what it received for a whole response. The
+// end of the connection is the end of a response without a length or chunks, a reset isn't.
+func complete(received string, err error) bool {
+	if received == "" || errors.Is(err, syscall.ECONNRESET) {
+		return false
+	}
+	response, err := http.ReadResponse(bufio.NewReader(strings.NewReader(received)), nil)
+	if err != nil {
+		return false
+	}
+	_, err = io.Copy(io.Discard, response.Body)
+	return err == nil
+}
+
+// A stream that breaks off must not look complete to a caller for whom the end of the
+// connection is the end of the response.
+func TestBrokenStreamOfHTTP10IsReset(t *testing.T) {
+	address := serve(t, func(_ context.Context, out dispatch.Responder) {
+		out.StartStream(http.StatusOK, http.Header{})
+		if err := out.WriteEvent([]byte("id: 1\ndata: x\n\n"), true); err != nil {
+			t.Error(err)
+		}
+		out.Abort()
+	})
+	if received, err := callRaw(t, address, "HTTP/1.0", false); !errors.Is(err, syscall.ECONNRESET) {
+		t.Errorf("%q, error %v; want a reset", received, err)
+	}
+}
