Go on after a lack of descriptors, and stop if a part of the router fails

Cause: the server for other routers ended with the first error of Accept, which ended the control goroutine and all servers but that of the callers, and Run waited for that one. Connections to the directory were never closed.

If a part of the router fails, the router refuses new calls, completes those in flight and ends. Connections to the readiness, directory and metrics addresses are closed after 30 s without a request.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -161,13 +161,21 @@
 		"router": e.options.Settings.Name, "callers": e.options.Settings.CallerAddress,
 		"peers": e.options.Settings.PeerAddress, "seeds": e.options.Settings.Seeds,
 	})
+	e.awaitEnd(ctx, running)
+	stop()
+	return group.Wait()
+}
+
+// awaitEnd waits until the router is told to stop, and then leaves without interrupting
+// calls. If a part of the router has failed before, which ends the context of the others,
+// it takes no more calls: nothing would keep its routes and instances current.
+func (e *Edge) awaitEnd(ctx, running context.Context) {
 	select {
 	case <-ctx.Done():
 		e.leave(time.Now())
 	case <-running.Done():
+		e.stopAfterFailure(time.Now())
 	}
-	stop()
-	return group.Wait()
 }
 
 // startControl starts the control goroutine, the registration, the exchange with
@@ -227,13 +235,20 @@
 		if listener == nil {
 			continue
 		}
-		group.Go(func() error { return serving.UntilDone(ctx, listener, handler, auxHeaderTimeout) })
+		group.Go(func() error {
+			return serving.UntilDone(ctx, listener, handler, serving.Timeouts{Header: auxHeaderTimeout, Idle: auxIdleTimeout})
+		})
 	}
 }
 
-// auxHeaderTimeout bounds the arrival of a request's headers at the readiness,
-// directory and metrics addresses.
-const auxHeaderTimeout = 5 * time.Second
+const (
+	// auxHeaderTimeout bounds the arrival of a request's headers at the readiness,
+	// directory and metrics addresses.
+	auxHeaderTimeout = 5 * time.Second
+	// auxIdleTimeout is how long their connections may be idle. Callers ask the directory
+	// every few seconds, and each connection takes a descriptor.
+	auxIdleTimeout = 30 * time.Second
+)
 
 // Settings returns the current settings.
 func (e *Edge) Settings() Settings { return *e.settings.Load() }
--- a/internal/edge/leave.go
+++ b/internal/edge/leave.go
@@ -16,6 +16,19 @@
 	addressMargin = 500 * time.Millisecond
 )
 
+// stopAfterFailure refuses new calls and completes those in flight, after a part of the
+// router has failed.
+func (e *Edge) stopAfterFailure(now time.Time) {
+	settings := e.Settings()
+	e.options.Log.Lifecycle("a part of the router failed, it stops", decisionlog.Fields{"router": settings.Name, "grace": settings.GracePeriod.String()})
+	e.leaving.Store(true)
+	ctx, cancel := context.WithDeadline(context.Background(), now.Add(settings.GracePeriod-exitMargin))
+	defer cancel()
+	if err := e.callers.Stop(ctx); err != nil {
+		e.options.Log.Failure("router stopped", err, decisionlog.Fields{"router": settings.Name})
+	}
+}
+
 // leave shuts down without interrupting a call: other routers and the directory
 // stop returning this router's address at once, new calls are accepted as long as
 // callers may have the address, and calls in flight are completed.
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"net"
+	"os"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -24,6 +26,71 @@
 	_ = stream.Send(&peerpb.ForwardEvent{Event: &peerpb.ForwardEvent_Token{Token: &peerpb.TokenChunk{Text: text}}})
 }
 
+// shortOfDescriptors is a listener that fails to accept some times, as a process does that has
+// no descriptor left.
+type shortOfDescriptors struct {
+	net.Listener
+	failures atomic.Int32
+}
+
+func (l *shortOfDescriptors) Accept() (net.Conn, error) {
+	if l.failures.Add(-1) >= 0 {
+		return nil, &net.OpError{Op: "accept", Net: "tcp", Err: os.NewSyscallError("accept4", syscall.EMFILE)}
+	}
+	return l.Listener.Accept()
+}
+
+// A lack of descriptors passes. The server of a router that ended with it took the router's
+// control with it, which went on serving callers with stale routes (review/1).
+func TestServerAcceptsAgainAfterALackOfDescriptors(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	const failures = 4
+	short := &shortOfDescriptors{Listener: listener}
+	short.failures.Store(failures)
+	var reported atomic.Int32
+	server := NewServer(short, &echoHandler{})
+	server.OnAcceptError = func(error) { reported.Add(1) }
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- server.Run(ctx) }()
+	pool := NewPool()
+	defer pool.Close()
+	stream, err := pool.Open(t.Context(), listener.Addr().String(), &peerpb.StreamHeader{Request: &peerpb.StreamHeader_Forward{
+		Forward: &peerpb.ForwardRequest{RequestId: "r"}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	event := &peerpb.ForwardEvent{}
+	if err := stream.Receive(event, 10*time.Second); err != nil || event.GetToken().GetText() != "r" {
+		t.Errorf("%v, %v", event, err)
+	}
+	stream.Close()
+	if n := reported.Load(); n != failures {
+		t.Errorf("%d errors reported, want %d", n, failures)
+	}
+	cancel()
+	if err := <-done; err != nil {
+		t.Error(err)
+	}
+}
+
+// A listener that somebody closed is no lack of anything.
+func TestServerEndsWithItsListener(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := listener.Close(); err != nil {
+		t.Fatal(err)
+	}
+	if err := NewServer(listener, &echoHandler{}).Run(t.Context()); !errors.Is(err, net.ErrClosed) {
+		t.Errorf("%v", err)
+	}
+}
+
 func startServer(t *testing.T, handler Handler) string {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/peering/link.go
+++ b/internal/peering/link.go
@@ -54,6 +54,8 @@
 	// refused counts requests for a copy that were refused because of
 	// maxConcurrentTransfers.
 	refused metrics.Counter
+	// notAccepted counts failures to accept a session, for example for lack of descriptors.
+	notAccepted metrics.Counter
 }
 
 // Open listens on a peer address, over UDP and TCP. Its error is
@@ -77,7 +79,7 @@
 		name: name, incarnation: incarnation, conn: conn, listener: listener, pool: peer.NewPool(),
 		sent: counter("datagrams.sent"), failed: counter("datagrams.failed"),
 		malformed: counter("datagrams.malformed"), bytes: counter("datagrams.bytes"),
-		refused: counter("copies.refused"),
+		refused: counter("copies.refused"), notAccepted: counter("sessions.not_accepted"),
 	}, nil
 }
 
--- a/internal/peering/state.go
+++ b/internal/peering/state.go
@@ -73,7 +73,9 @@
 // Serve serves the requests of other routers until the context ends.
 func (l *Link) Serve(ctx context.Context, h Handlers) error {
 	defer l.pool.Close()
-	return peer.NewServer(l.listener, &streamHandler{Handlers: h, failed: l.failed, refused: l.refused}).Run(ctx)
+	server := peer.NewServer(l.listener, &streamHandler{Handlers: h, failed: l.failed, refused: l.refused})
+	server.OnAcceptError = func(error) { l.notAccepted.Inc(1) }
+	return server.Run(ctx)
 }
 
 type streamHandler struct {
--- a/internal/serving/serving.go
+++ b/internal/serving/serving.go
@@ -10,11 +10,17 @@
 	"github.com/pkg/errors"
 )
 
+// Timeouts bound the time that a client may take.
+type Timeouts struct {
+	// Header is for a request's headers, Idle for the next request on a connection. Zero
+	// stands for no limit.
+	Header, Idle time.Duration
+}
+
 // UntilDone serves until the context ends, and then closes the server without
-// waiting for requests in flight. A request's headers must arrive within
-// headerTimeout.
-func UntilDone(ctx context.Context, listener net.Listener, handler http.Handler, headerTimeout time.Duration) error {
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}
+// waiting for requests in flight.
+func UntilDone(ctx context.Context, listener net.Listener, handler http.Handler, t Timeouts) error {
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: t.Header, IdleTimeout: t.Idle}
 	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
 	defer stop()
 	return UntilClosed(server, listener)
