Keep the records of long prompts cheap, and cover every part that a header lists

After the parts of long prompts have got keys of their own, a crash may bring thousands of records. And records that were dropped early might have been those of the culprit.

Change: the keys of a crash are compacted once half of them are gone, records are ranked for dropping by their plain number of strikes, and 32,768 are kept in place of 16,384. Up to 3,072 parts have keys, more than a header of 16 KiB can list with hexadecimal IDs that differ: 1,536 were fewer than 1,600 short ones.

--- a/internal/call/call_test.go
+++ b/internal/call/call_test.go
@@ -23,7 +23,7 @@
 // What crashes instances may be any part of a prompt: each must have a key, wherever it is
 // and however many there are.
 func TestEachSharedPartHasAKey(t *testing.T) {
-	for _, n := range []int{1, 24, 25, 40, 129, 1536} {
+	for _, n := range []int{1, 24, 25, 40, 129, 1536, 3072} {
 		var parts []string
 		for i := range n {
 			parts = append(parts, strconv.Itoa(i))
--- a/internal/call/fingerprint.go
+++ b/internal/call/fingerprint.go
@@ -34,8 +34,8 @@
 
 const (
 	// maxSharedParts bounds the parts of one call's prompt that have keys. It is more than
-	// a header of 16 KiB can list with IDs of eight digits.
-	maxSharedParts = 1536
+	// a header of 16 KiB can list with hexadecimal IDs that differ.
+	maxSharedParts = 3072
 	// maxScopedParts bounds the parts that have keys within scopes, too.
 	maxScopedParts = 128
 )
--- a/internal/containment/blame.go
+++ b/internal/containment/blame.go
@@ -188,8 +188,12 @@
 // count. Keys that were in flight at all of them are among these.
 func (c *Containment) companions(key uint64) []uint64 {
 	first := c.records[key].first(func(s strike) bool { return s.counts })
+	s := c.struck[first]
+	if s == nil {
+		return nil
+	}
 	// Cloned, since looking up an expired record changes the original.
-	return slices.Clone(c.struck[first])
+	return slices.Clone(s.keys)
 }
 
 // exportable returns those of some blamed keys whose strikes fit into a number of messages.
--- a/internal/containment/containment.go
+++ b/internal/containment/containment.go
@@ -68,7 +68,7 @@
 	defaultSpreadTime      = time.Second
 	defaultMassCrashes     = 6
 	defaultMassWindow      = 10 * time.Second
-	defaultMaxFingerprints = 16384
+	defaultMaxFingerprints = 32768
 )
 
 // DefaultSettings returns settings under which requests are refused after three
@@ -137,7 +137,7 @@
 	// heavy are the records with at least MaxStrikes strikes, by key.
 	heavy map[uint64]*record
 	// struck maps the IDs of crashes to the keys that have strikes for them.
-	struck  map[uint64][]uint64
+	struck  map[uint64]*struckKeys
 	crashes recentCrashes
 	// running maps each upstream to the suspect that it runs.
 	running map[string]uint64
@@ -149,7 +149,7 @@
 // New returns an empty Containment.
 func New(s Settings) *Containment {
 	return &Containment{
-		settings: s, records: make(map[uint64]*record), heavy: make(map[uint64]*record), struck: make(map[uint64][]uint64),
+		settings: s, records: make(map[uint64]*record), heavy: make(map[uint64]*record), struck: make(map[uint64]*struckKeys),
 		running: make(map[string]uint64), crashes: newRecentCrashes(s.MassWindow.Std()), probes: newProbes(), sound: newSoundKeys(s.StrikeLifetime.Std()),
 	}
 }
--- a/internal/containment/record.go
+++ b/internal/containment/record.go
@@ -108,7 +108,7 @@
 		if len(r.crashes) >= c.maxCrashes() {
 			c.dropStrike(r, r.first(func(strike) bool { return true }))
 		}
-		c.struck[crashID] = append(c.struck[crashID], r.key)
+		c.addStruck(crashID, r.key)
 	}
 	r.crashes[crashID] = s
 	if s.counts && s.at.After(r.lastCrash) {
@@ -143,12 +143,44 @@
 
 func (c *Containment) dropStrike(r *record, crashID uint64) {
 	delete(r.crashes, crashID)
-	left := slices.DeleteFunc(c.struck[crashID], func(other uint64) bool { return other == r.key })
-	if len(left) == 0 {
+	s := c.struck[crashID]
+	s.live--
+	switch {
+	case s.live == 0:
 		delete(c.struck, crashID)
-		return
+	case s.live < len(s.keys)/2:
+		s.keys = slices.DeleteFunc(s.keys, func(key uint64) bool { return !c.hasStrike(key, crashID) })
+		slices.Sort(s.keys)
+		s.keys = slices.Compact(s.keys)
+	}
+}
+
+// struckKeys are the keys with a strike for one crash. Dropped ones stay in the list until
+// they are the larger part of it, so that dropping many takes no time for each.
+type struckKeys struct {
+	keys []uint64
+	// live is the number of keys that have the strike.
+	live int
+}
+
+func (c *Containment) addStruck(crashID, key uint64) {
+	s := c.struck[crashID]
+	if s == nil {
+		s = &struckKeys{}
+		c.struck[crashID] = s
+	}
+	s.keys = append(s.keys, key)
+	s.live++
+}
+
+// hasStrike reports whether a key has a strike for a crash.
+func (c *Containment) hasStrike(key, crashID uint64) bool {
+	r := c.records[key]
+	if r == nil {
+		return false
 	}
-	c.struck[crashID] = left
+	_, known := r.crashes[crashID]
+	return known
 }
 
 // maxCrashes returns the maximum number of crashes in one record.
@@ -204,7 +236,7 @@
 	}
 	ranked := make([]evictionRank, 0, len(c.records))
 	for _, r := range c.records {
-		ranked = append(ranked, evictionRank{strikes: c.distinct(r, r.lastCrash), expiry: c.expiry(r), record: r})
+		ranked = append(ranked, evictionRank{strikes: r.strikes(), expiry: c.expiry(r), record: r})
 	}
 	slices.SortFunc(ranked, evictionRank.compare)
 	for _, rank := range ranked[:len(ranked)/evictedShare+1] {
