Let a stream begin anew after a comment, and leave odd addresses out of the first readers

The routers that read the store first after a start were chosen among all records of routers, also those whose address can't be reached.

--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -107,9 +107,7 @@
 
 // resumable reports whether another instance can be told where to go on: if the position
 // is unknown, the caller would get events twice.
-func (p *streamPosition) resumable() bool {
-	return !p.started || p.lastID != "" && !p.unknown
-}
+func (p *streamPosition) resumable() bool { return !p.unknown }
 
 func newRun(ctx context.Context, d *Dispatcher, c *call.Call, out Responder, config int64, route *routing.Route, w *routing.Workspace) *run {
 	timeout := c.Timeout
--- a/internal/dispatch/send.go
+++ b/internal/dispatch/send.go
@@ -74,7 +74,7 @@
 		options.Pool.Release(conn, 0)
 		return failedAttempt(attempt.Unsent, instances.Late, "the permit to send expired before the connection was open")
 	}
-	e := &exchange{run: r, pick: p, conn: conn, startedAt: time.Now(), resumes: r.stream.started}
+	e := &exchange{run: r, pick: p, conn: conn, startedAt: time.Now(), resumes: r.stream.started && r.stream.lastID != ""}
 	s := e.exchange(ctx)
 	e.report(&s)
 	return s
@@ -105,8 +105,8 @@
 	// endsWithConn is set if the response has neither a length nor chunks: its end can't
 	// be told from that of the instance.
 	endsWithConn bool
-	// resumes is set if the caller has already received the beginning of the stream from
-	// another attempt, reached once this attempt's stream is at the caller's position.
+	// resumes is set if the caller has already received events of the stream from another
+	// attempt, reached once this attempt's stream is at the caller's position.
 	resumes, reached bool
 }
 
@@ -199,7 +199,7 @@
 		return failedAttempt(attempt.MayHaveRun, instances.Broken, "the response does not belong to the call")
 	case e.reply.EventStream && response.StatusCode == http.StatusOK:
 		return e.forwardStream(response)
-	case e.resumes:
+	case e.run.stream.started:
 		return e.refuseContinuation(response)
 	default:
 		return e.forwardBuffered(response)
--- a/internal/edge/starting.go
+++ b/internal/edge/starting.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/verbenatrail/verbenatrail/internal/decisionlog"
+	"github.com/verbenatrail/verbenatrail/internal/hostport"
 	"github.com/verbenatrail/verbenatrail/internal/placement"
 )
 
@@ -53,7 +54,10 @@
 	entries, _, err := e.options.Store.List(ctx, e.options.Provider.RoutersPrefix())
 	var addresses []string
 	for _, entry := range entries {
-		addresses = append(addresses, string(entry.Value))
+		// The translation of the records names those that are left out.
+		if address, err := hostport.Parse(string(entry.Value)); err == nil {
+			addresses = append(addresses, address.String())
+		}
 	}
 	e.post(routersDiscovered{addresses: addresses, err: err})
 }
