Let the test of dropped log lines allow for the log's own report

The log writes a line of its own on what it has dropped each second, and the test took 1.77 s, so that there was one line more. The test took no such line into account, and was wrong where it lasts longer than a second.

The check is as strict as before: within a second it demands the same equality, after it at most one line more for each second, less those that are in the log.

--- a/internal/decisionlog/decisionlog_test.go
+++ b/internal/decisionlog/decisionlog_test.go
@@ -7,6 +7,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/pkg/errors"
 	"github.com/rcrowley/go-metrics"
@@ -37,6 +38,7 @@
 	done := make(chan error)
 	go func() { done <- l.Run(ctx) }()
 	const lines = 10 * maxQueuedLines
+	started := time.Now()
 	for range lines {
 		l.Lifecycle("line", nil)
 	}
@@ -45,10 +47,14 @@
 	if err := <-done; err != nil {
 		t.Fatal(err)
 	}
-	written := strings.Count(out.data.String(), "\n")
+	// The log reports dropped lines in a line of its own each reportInterval, which may be
+	// dropped itself.
+	reports := int64(time.Since(started) / reportInterval)
+	reported := int64(strings.Count(out.data.String(), "log lines dropped"))
+	written := int64(strings.Count(out.data.String(), "\n")) - reported
 	dropped := metrics.GetOrRegisterCounter("log.lines.dropped", registry).Count()
-	if dropped == 0 || int64(written)+dropped != lines {
-		t.Errorf("%d lines written and %d dropped of %d", written, dropped, lines)
+	if surplus := written + dropped - lines; dropped == 0 || surplus < 0 || surplus > reports-reported {
+		t.Errorf("%d lines written and %d dropped of %d, with %d of at most %d reports", written, dropped, lines, reported, reports)
 	}
 }
 
