Say things once: idle time, valid revisions, bounded times, the digest of a crash

The idle time of the servers beside the callers' stood in two packages with a type to pass it; it is one constant of the server. Whether a revision is one that a store can have was decided in two places; kv decides it. Two functions bounded times each in its own way. The messages of one crash were sent with a digest computed anew for each few of them; one serves all. A request that is known to be a suspect had its other keys examined as well. A test built a server that another test file builds, and another wrote a configuration that changes nothing.

No behaviour changes.

--- a/internal/containment/containment.go
+++ b/internal/containment/containment.go
@@ -167,7 +167,7 @@
 			continue
 		}
 		v.Strikes = max(v.Strikes, r.strikes())
-		if now.Before(r.lastCrash.Add(c.settings.StrikeLifetime.Std())) && c.suspected(now, r, key == request.Fingerprint) {
+		if v.Kind == Allowed && now.Before(r.lastCrash.Add(c.settings.StrikeLifetime.Std())) && c.suspected(now, r, key == request.Fingerprint) {
 			v.Kind = Isolated
 		}
 	}
--- a/internal/daemon/node.go
+++ b/internal/daemon/node.go
@@ -188,14 +188,10 @@
 	}
 }
 
-// auxIdleTimeout is how long connections to the directory and the admin address may be
-// idle: each takes a descriptor.
-const auxIdleTimeout = 30 * time.Second
-
 // serveHTTP serves until the context is done, and then closes the server without
 // waiting for requests in flight.
 func serveHTTP(ctx context.Context, listener net.Listener, handler http.Handler) error {
-	return serving.UntilDone(ctx, listener, handler, serving.Timeouts{Header: shutdownTimeout, Idle: auxIdleTimeout})
+	return serving.UntilDone(ctx, listener, handler, shutdownTimeout)
 }
 
 // adminHandler returns the handler for metrics, status and readiness.
--- a/internal/edge/control.go
+++ b/internal/edge/control.go
@@ -161,24 +161,29 @@
 	return d
 }
 
-// apply sends the strikes at once, in as many digests as they take.
 func (d crashDetected) apply(c *control, now time.Time) {
 	c.crashRecord.struck = true
-	for strikes := range slices.Chunk(d.strikes, strikesPerDigest) {
-		for _, strike := range strikes {
-			c.news.AddStrike(now, strike)
-		}
-		c.send(now, c.members.Targets())
+	for _, strike := range d.strikes {
+		c.news.AddStrike(now, strike)
 	}
+	c.sendNews(now, len(d.strikes), strikesPerDigest)
 }
 
-// apply sends the trials at once, in as many digests as they take.
 func (r trialsRecorded) apply(c *control, now time.Time) {
-	for trials := range slices.Chunk(r.trials, trialsPerDigest) {
-		for _, trial := range trials {
-			c.news.AddTrial(now, trial)
+	for _, trial := range r.trials {
+		c.news.AddTrial(now, trial)
+	}
+	c.sendNews(now, len(r.trials), trialsPerDigest)
+}
+
+// sendNews sends new messages about a crash at once, in as many copies of the digest as
+// they take.
+func (c *control) sendNews(now time.Time, messages, perDigest int) {
+	d := c.digest(now)
+	for ; messages > 0; messages -= perDigest {
+		if to := c.members.Targets(); len(to) > 0 {
+			c.edge.link.SendDigest(to, d, c.takeNews())
 		}
-		c.send(now, c.members.Targets())
 	}
 }
 
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -235,20 +235,13 @@
 		if listener == nil {
 			continue
 		}
-		group.Go(func() error {
-			return serving.UntilDone(ctx, listener, handler, serving.Timeouts{Header: auxHeaderTimeout, Idle: auxIdleTimeout})
-		})
+		group.Go(func() error { return serving.UntilDone(ctx, listener, handler, auxHeaderTimeout) })
 	}
 }
 
-const (
-	// auxHeaderTimeout bounds the arrival of a request's headers at the readiness,
-	// directory and metrics addresses.
-	auxHeaderTimeout = 5 * time.Second
-	// auxIdleTimeout is how long their connections may be idle. Callers ask the directory
-	// every few seconds, and each connection takes a descriptor.
-	auxIdleTimeout = 30 * time.Second
-)
+// auxHeaderTimeout bounds the arrival of a request's headers at the readiness,
+// directory and metrics addresses.
+const auxHeaderTimeout = 5 * time.Second
 
 // Settings returns the current settings.
 func (e *Edge) Settings() Settings { return *e.settings.Load() }
--- a/internal/ingress/responder_test.go
+++ b/internal/ingress/responder_test.go
@@ -6,20 +6,15 @@
 	"io"
 	"net"
 	"net/http"
-	"net/http/httptest"
 	"strings"
 	"syscall"
 	"testing"
 	"time"
 
 	"github.com/pkg/errors"
-	"github.com/rcrowley/go-metrics"
-	"github.com/sirupsen/logrus"
 
 	"github.com/verbenatrail/verbenatrail/internal/call"
-	"github.com/verbenatrail/verbenatrail/internal/decisionlog"
 	"github.com/verbenatrail/verbenatrail/internal/dispatch"
-	"github.com/verbenatrail/verbenatrail/internal/memquota"
 	"github.com/verbenatrail/verbenatrail/internal/refusal"
 	"github.com/verbenatrail/verbenatrail/internal/routing"
 )
@@ -46,16 +41,8 @@
 // serve starts a server whose calls are served by a dispatcher, and returns its address.
 func serve(t *testing.T, d scriptedDispatcher) string {
 	t.Helper()
-	registry := metrics.NewRegistry()
-	s := New(Options{
-		Codec: plainCodec{}, Dispatcher: d, Buffers: memquota.New(1 << 20), Table: func() *routing.Table { return nil },
-		Log: decisionlog.New(io.Discard, logrus.InfoLevel, registry), Registry: registry,
-	})
-	server := httptest.NewUnstartedServer(s)
-	server.Listener = trackedListener{Listener: server.Listener, tracker: s.tracker}
-	server.Start()
-	t.Cleanup(server.Close)
-	return server.Listener.Addr().String()
+	_, address := startServer(t, Options{Codec: plainCodec{}, Dispatcher: d, Table: func() *routing.Table { return nil }})
+	return address
 }
 
 // A second response to a call, whatever its kind, must not become a part of the first one.
--- a/internal/ingress/timeouts_test.go
+++ b/internal/ingress/timeouts_test.go
@@ -19,12 +19,16 @@
 // without a dispatcher.
 func newServer(t *testing.T, limits routing.Limits) (*Server, string) {
 	t.Helper()
-	registry := metrics.NewRegistry()
 	table := routing.NewTable(routing.Options{Revision: 1, Limits: limits})
-	s := New(Options{
-		Table: func() *routing.Table { return table }, Buffers: memquota.New(1 << 20),
-		Log: decisionlog.New(io.Discard, logrus.ErrorLevel, registry), Registry: registry,
-	})
+	return startServer(t, Options{Table: func() *routing.Table { return table }})
+}
+
+// startServer starts a server with the given options on the loopback interface.
+func startServer(t *testing.T, o Options) (*Server, string) {
+	t.Helper()
+	o.Registry, o.Buffers = metrics.NewRegistry(), memquota.New(1<<20)
+	o.Log = decisionlog.New(io.Discard, logrus.ErrorLevel, o.Registry)
+	s := New(o)
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
--- a/internal/kv/era.go
+++ b/internal/kv/era.go
@@ -25,6 +25,12 @@
 	return era<<eraShift | raw
 }
 
+// ValidRevision reports whether a store can have had a revision in an era: both are within
+// what JoinRevision joins.
+func ValidRevision(era, raw int64) bool {
+	return era >= 0 && era <= MaxEra && raw >= 0 && raw <= MaxRawRevision
+}
+
 // EraOf returns the era of a revision.
 func EraOf(revision int64) int64 { return revision >> eraShift }
 
--- a/internal/peering/link.go
+++ b/internal/peering/link.go
@@ -199,8 +199,8 @@
 		return Received{}, false
 	}
 	digest := d.GetDigest()
-	if !validAddresses(digest) || !validRevision(digest.GetEra(), digest.GetStateRevision()) ||
-		!validRevision(digest.GetEra(), digest.GetChangedRevision()) {
+	if !validAddresses(digest) || !kv.ValidRevision(digest.GetEra(), digest.GetStateRevision()) ||
+		!kv.ValidRevision(digest.GetEra(), digest.GetChangedRevision()) {
 		return Received{}, false
 	}
 	return Received{
@@ -227,12 +227,7 @@
 }
 
 func validRevisions(s *peerpb.StateResponse) bool {
-	return validRevision(s.GetEra(), s.GetRevision()) && validRevision(s.GetFromEra(), s.GetFromRevision()) &&
-		validRevision(s.GetEra(), s.GetChangedRevision()) &&
-		!slices.ContainsFunc(s.GetEntries(), func(e *peerpb.StateEntry) bool { return !validRevision(e.GetEra(), e.GetRevision()) })
-}
-
-// validRevision reports whether a store can have had a revision in an era.
-func validRevision(era, raw int64) bool {
-	return era >= 0 && era <= kv.MaxEra && raw >= 0 && raw <= kv.MaxRawRevision
+	return kv.ValidRevision(s.GetEra(), s.GetRevision()) && kv.ValidRevision(s.GetFromEra(), s.GetFromRevision()) &&
+		kv.ValidRevision(s.GetEra(), s.GetChangedRevision()) &&
+		!slices.ContainsFunc(s.GetEntries(), func(e *peerpb.StateEntry) bool { return !kv.ValidRevision(e.GetEra(), e.GetRevision()) })
 }
--- a/internal/serving/serving.go
+++ b/internal/serving/serving.go
@@ -10,17 +10,15 @@
 	"github.com/pkg/errors"
 )
 
-// Timeouts bound the time that a client may take.
-type Timeouts struct {
-	// Header is for a request's headers, Idle for the next request on a connection. Zero
-	// stands for no limit.
-	Header, Idle time.Duration
-}
+// idleTimeout is how long a connection may wait for its next request: each takes a
+// descriptor.
+const idleTimeout = 30 * time.Second
 
 // UntilDone serves until the context ends, and then closes the server without
-// waiting for requests in flight.
-func UntilDone(ctx context.Context, listener net.Listener, handler http.Handler, t Timeouts) error {
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: t.Header, IdleTimeout: t.Idle}
+// waiting for requests in flight. A request's headers must arrive within
+// headerTimeout, and the next request on a connection within idleTimeout.
+func UntilDone(ctx context.Context, listener net.Listener, handler http.Handler, headerTimeout time.Duration) error {
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
 	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
 	defer stop()
 	return UntilClosed(server, listener)
