Log and count from which software version to which a stream goes on

Logs named engines and no version, so that they couldn't tell whether the version that began a stream was unknown, lost with a router or out of date. A line for each stream that goes on now names the call that began it, both versions, and how and since when the first is known; three counters sum them up. Nothing is decided by it yet.

--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -72,6 +72,9 @@
 	// ResumeAfter is the ID of the last stream event that the caller has received;
 	// empty if the stream starts at the beginning.
 	ResumeAfter string
+	// BegunBy is the ID of the call that brought the first event of the stream that this
+	// one goes on with; empty if the caller doesn't name it.
+	BegunBy string
 }
 
 // Attempt holds the data that is added to a call for one attempt at an instance.
--- a/internal/dispatch/metrics.go
+++ b/internal/dispatch/metrics.go
@@ -33,6 +33,9 @@
 	// more than one above, that of the event before.
 	repeatedEvents metrics.Counter
 	skippedEvents  metrics.Counter
+	// continuedSame, continuedOther and continuedUnknown count the streams that went on, by
+	// whether the version that began them was that of the instance, another one, or unknown.
+	continuedSame, continuedOther, continuedUnknown metrics.Counter
 	// confirmedEnds and unprovenEnds count responses that ended with their connection, by
 	// whether the instance still answered afterwards.
 	confirmedEnds metrics.Counter
@@ -61,6 +64,9 @@
 		invalidRateLimits: metrics.GetOrRegisterCounter("sends.invalid_rate_limit", registry),
 		repeatedEvents:    metrics.GetOrRegisterCounter("streams.events.repeated", registry),
 		skippedEvents:     metrics.GetOrRegisterCounter("streams.events.skipped", registry),
+		continuedSame:     metrics.GetOrRegisterCounter("streams.continued.same_version", registry),
+		continuedOther:    metrics.GetOrRegisterCounter("streams.continued.other_version", registry),
+		continuedUnknown:  metrics.GetOrRegisterCounter("streams.continued.unknown_version", registry),
 		confirmedEnds:     metrics.GetOrRegisterCounter("responses.until_close.confirmed", registry),
 		unprovenEnds:      metrics.GetOrRegisterCounter("responses.until_close.unproven", registry),
 		expiredPermits:    metrics.GetOrRegisterCounter("permits.expired", registry),
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -41,8 +41,9 @@
 	failedDials int
 	// mayHaveRun is set once an instance may have run the call.
 	mayHaveRun bool
-	// stream is the caller's position in a streamed response.
+	// stream is the caller's position in a streamed response, origin its beginning.
 	stream streamPosition
+	origin origin
 	// failure is an error response of an instance. It is forwarded if no other
 	// instance gives a better response.
 	failure *bufferedResponse
@@ -131,6 +132,7 @@
 	if route.Kind != routing.Streaming || route.Resumable {
 		// Other streams can't be resumed: the caller gets a whole one.
 		r.stream.lastID = c.ResumeAfter
+		r.origin.call = c.BegunBy
 	}
 	r.identity = containment.Request{
 		Fingerprint: c.Fingerprint(r.workspaceName()), Keys: c.SharedKeys(r.workspaceName(), r.service),
@@ -336,7 +338,7 @@
 func (r *run) logPlaced(p *pick) {
 	r.dispatcher.options.Log.Decision("call placed", decisionlog.Fields{
 		"call": r.call.ID, "route": r.route.Name, "service": r.service, "workspace": r.workspaceName(),
-		"config": r.config, "instance": p.instance.ID, "state": p.state.String(), "load": p.load, "mean": p.mean,
+		"config": r.config, "instance": p.instance.ID, "version": p.instance.Version, "state": p.state.String(), "load": p.load, "mean": p.mean,
 		"load_age_ms":   p.oldestLoadAge.Milliseconds(),
 		"unread_tokens": p.prefillTokens, "fetch_from": p.fetchFrom, "candidates": p.candidates,
 		"failed_sends": r.attempts, "time_left_ms": time.Until(r.deadline).Milliseconds(),
--- a/internal/dispatch/send.go
+++ b/internal/dispatch/send.go
@@ -108,8 +108,9 @@
 	// after is the ID of the event after which the stream is to go on, empty for one from its
 	// beginning. The caller has the events up to it, of another attempt or of an earlier call.
 	after string
-	// reached is set once this attempt's stream has gone on after it.
-	reached bool
+	// reached is set once this attempt's stream has gone on after it, joined once that has
+	// been recorded.
+	reached, joined bool
 	// resumes is set if the caller already has events of the stream in this response.
 	resumes bool
 	// outOfOrder is set once an event's number didn't follow that of the event before.
--- a/internal/dispatch/state.go
+++ b/internal/dispatch/state.go
@@ -142,7 +142,7 @@
 func (b *Balancer) logChanges(changes []instances.Change) {
 	for _, change := range changes {
 		b.options.Log.Decision("instance changed", decisionlog.Fields{
-			"instance": change.Instance.ID, "service": change.Instance.Service,
+			"instance": change.Instance.ID, "service": change.Instance.Service, "version": change.Instance.Version,
 			"address": change.Instance.Address, "state": change.State.String(), "reason": change.Reason,
 			"faults": math.Round(change.Faults*faultScale) / faultScale,
 		})
--- a/internal/dispatch/stream.go
+++ b/internal/dispatch/stream.go
@@ -36,6 +36,7 @@
 		if !pass {
 			continue
 		}
+		e.recordOrigin()
 		if err := e.forwardEvent(response, event, !reader.Buffered()); err != nil {
 			e.conn.Close()
 			e.run.endCanceled(attempt.MayHaveRun)
--- a/internal/instances/types.go
+++ b/internal/instances/types.go
@@ -13,7 +13,10 @@
 	Service  string
 	Address  string
 	Location locality.Location
-	Slots    int
+	// Version is the version of the instance's software. Versions have no order, and may
+	// serve side by side.
+	Version string
+	Slots   int
 	// Draining instances finish their work and take no new work.
 	Draining bool
 	// StartedAt is when this run of the instance started. It distinguishes runs
