Let a stream go on only at the software version that began it

Cause: nothing that goes on with a stream knew the version that began it. The entry's version was decoded and dropped, Resumes was read by nothing, and what a router did know of a stream was lost with it. The class: state that a caller's later request relies on, kept nowhere or only in the memory of one process.

Change: instances have a version. Within a response only instances of the version that made the first event are picked, also by the timer of a silent one and by permits of rate limits. For take-ups the version is recorded when a call is sent: in memory, and while several versions serve in a record of each router process in the store. One record of all versions at which streams can have begun comes before any stream there, so that a stream without a record is of the only version that has served; after a restore it counts once a router that knew all has confirmed it. What isn't known, or has no instance, is refused at once as not run.

--- a/internal/dispatch/balancer.go
+++ b/internal/dispatch/balancer.go
@@ -5,6 +5,7 @@
 package dispatch
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -140,6 +141,8 @@
 	// permitRequest is what the pick needs a permit for before the call is sent, nil if
 	// the instance has no rate limit.
 	permitRequest *peerpb.PermitRequest
+	// version is the only software version that may take the call, empty for any.
+	version string
 	// permitEnd is until when the permit may be used, by package boottime; zero if none is
 	// needed.
 	permitEnd time.Time
@@ -156,6 +159,10 @@
 	timeLeft time.Duration
 	// deadline is when the call must be answered.
 	deadline time.Time
+	// version is the only software version that may take the call, empty for any.
+	version string
+	// versions are those at which the call is better begun, in order of preference.
+	versions [][]string
 	// avoidLimited is set if no instance with a rate limit is to be picked while there is
 	// another one.
 	avoidLimited bool
@@ -169,7 +176,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.options.Now()
-	candidates := b.registry.Candidates(now, t.service, excluded)
+	candidates := b.candidates(now, t, excluded)
 	if len(candidates) == 0 {
 		return nil, nil
 	}
@@ -184,6 +191,7 @@
 		return nil, rejected
 	}
 	if b.registry.RateLimit(p.instance) > 0 {
+		p.version = t.version
 		p.permitRequest = b.newPermitRequest(now, c, t, p, s, excluded)
 		return p, nil
 	}
@@ -191,6 +199,19 @@
 	return p, nil
 }
 
+// candidates returns the instances that may take a call, of the versions at which it is
+// better begun if there are any.
+func (b *Balancer) candidates(now time.Time, t target, excluded []string) []instances.Candidate {
+	all := b.registry.CandidatesAt(now, t.service, t.version, excluded)
+	for _, versions := range t.versions {
+		preferred := slices.DeleteFunc(slices.Clone(all), func(c instances.Candidate) bool { return !slices.Contains(versions, c.Version) })
+		if len(preferred) > 0 {
+			all = preferred
+		}
+	}
+	return all
+}
+
 // placeAdmitted picks one of the selected instances. It returns the decision that rejects
 // a plain call if they are short of places.
 func (b *Balancer) placeAdmitted(now time.Time, c *call.Call, t target, s selection) (*pick, *overload.Decision) {
--- a/internal/dispatch/balancer_test.go
+++ b/internal/dispatch/balancer_test.go
@@ -174,7 +174,7 @@
 	if p, _ := b.choose(prompt("s"), target{service: "model"}, nil); p != nil {
 		t.Error("chose an instance without any listed")
 	}
-	if b.hasHealthyAlternative("model", nil) || b.HasInstances() {
+	if b.hasHealthyAlternative("model", "", nil) || b.HasInstances() {
 		t.Error("reports an instance without any listed")
 	}
 }
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -11,6 +11,7 @@
 	"github.com/verbenatrail/verbenatrail/internal/containment"
 	"github.com/verbenatrail/verbenatrail/internal/decisionlog"
 	"github.com/verbenatrail/verbenatrail/internal/memquota"
+	"github.com/verbenatrail/verbenatrail/internal/origins"
 	"github.com/verbenatrail/verbenatrail/internal/refusal"
 	"github.com/verbenatrail/verbenatrail/internal/routing"
 	"github.com/verbenatrail/verbenatrail/internal/telemetry"
@@ -56,6 +57,9 @@
 type Options struct {
 	Balancer *Balancer
 	Pool     *upstream.Pool
+	// Origins knows at which versions streams have begun; nil means that only the streams
+	// of this process are known.
+	Origins *origins.Tracker
 	// Permits decides on sends to instances with a rate limit; nil means that Balancer
 	// decides alone.
 	Permits Permits
@@ -85,6 +89,9 @@
 	if o.Permits == nil {
 		o.Permits = o.Balancer
 	}
+	if o.Origins == nil {
+		o.Origins = origins.NewTracker(nil, time.Now, o.Registry)
+	}
 	if o.StopAt == nil {
 		o.StopAt = func() time.Time { return time.Time{} }
 	}
--- a/internal/dispatch/metrics.go
+++ b/internal/dispatch/metrics.go
@@ -36,6 +36,10 @@
 	// continuedSame, continuedOther and continuedUnknown count the streams that went on, by
 	// whether the version that began them was that of the instance, another one, or unknown.
 	continuedSame, continuedOther, continuedUnknown metrics.Counter
+	// notContinued counts the streams that callers could not take up, originLookup is how
+	// long it took to find out which version had begun one.
+	notContinued metrics.Counter
+	originLookup metrics.Histogram
 	// confirmedEnds and unprovenEnds count responses that ended with their connection, by
 	// whether the instance still answered afterwards.
 	confirmedEnds metrics.Counter
@@ -67,6 +71,8 @@
 		continuedSame:     metrics.GetOrRegisterCounter("streams.continued.same_version", registry),
 		continuedOther:    metrics.GetOrRegisterCounter("streams.continued.other_version", registry),
 		continuedUnknown:  metrics.GetOrRegisterCounter("streams.continued.unknown_version", registry),
+		notContinued:      metrics.GetOrRegisterCounter("streams.not_continued", registry),
+		originLookup:      histogram("streams.origin_lookup.microseconds"),
 		confirmedEnds:     metrics.GetOrRegisterCounter("responses.until_close.confirmed", registry),
 		unprovenEnds:      metrics.GetOrRegisterCounter("responses.until_close.unproven", registry),
 		expiredPermits:    metrics.GetOrRegisterCounter("permits.expired", registry),
--- a/internal/dispatch/permit.go
+++ b/internal/dispatch/permit.go
@@ -64,6 +64,11 @@
 	for _, id := range excluded {
 		r.Excluded = append(r.Excluded, loadshare.Hash(id))
 	}
+	for _, other := range b.registry.Candidates(now, t.service, excluded) {
+		if t.version != "" && other.Version != t.version {
+			r.Excluded = append(r.Excluded, loadshare.Hash(other.ID))
+		}
+	}
 	return r
 }
 
@@ -137,7 +142,7 @@
 		return p
 	}
 	s := selection{}
-	for _, candidate := range b.registry.Candidates(now, service, nil) {
+	for _, candidate := range b.registry.CandidatesAt(now, service, p.version, nil) {
 		if loadshare.Hash(candidate.ID) == response.GetInstance() {
 			s.candidates = append(s.candidates, candidate)
 			continue
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -155,7 +155,7 @@
 	}
 	return target{
 		service: r.service, workspace: r.workspaceName(), objective: r.route.Objective, timeLeft: timeLeft,
-		deadline: r.deadline,
+		deadline: r.deadline, version: r.requiredVersion(), versions: r.preferredVersions(),
 	}
 }
 
@@ -165,6 +165,9 @@
 	r.dispatcher.metrics.inFlight.Inc(1)
 	b.recordRequest(r.service)
 	r.out.SetDeadline(r.deadline)
+	if !r.findOrigin() {
+		return
+	}
 	for {
 		if r.ctx.Err() != nil {
 			r.endCanceled(attempt.Unsent)
@@ -179,7 +182,7 @@
 			return
 		}
 		r.logPlaced(p)
-		s := r.send(p)
+		s := r.sendRecorded(p)
 		if !s.responded {
 			b.cancelPrefill(p)
 		}
@@ -274,7 +277,13 @@
 }
 
 // noInstance ends a call for which there is no candidate instance.
-func (r *run) noInstance() { r.end(r.finalVerdict(), attemptResult{result: instances.Unreachable}) }
+func (r *run) noInstance() {
+	if r.takenUp() && !r.mayHaveRun {
+		r.refuseContinued("no instance of the version takes calls", versionRetryAfter)
+		return
+	}
+	r.end(r.finalVerdict(), attemptResult{result: instances.Unreachable})
+}
 
 // finalVerdict returns the verdict on a call that isn't sent again.
 func (r *run) finalVerdict() attempt.Verdict {
--- a/internal/dispatch/state.go
+++ b/internal/dispatch/state.go
@@ -150,10 +150,10 @@
 }
 
 // hasHealthyAlternative reports whether a service has an instance in a better
-// state than Suspect besides the excluded ones.
-func (b *Balancer) hasHealthyAlternative(service string, excluded []string) bool {
+// state than Suspect besides the excluded ones, of one version only unless it is empty.
+func (b *Balancer) hasHealthyAlternative(service, version string, excluded []string) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	candidates := b.registry.Candidates(b.options.Now(), service, excluded)
+	candidates := b.registry.CandidatesAt(b.options.Now(), service, version, excluded)
 	return len(candidates) > 0 && candidates[0].State < instances.Suspect
 }
--- a/internal/dispatch/timeout.go
+++ b/internal/dispatch/timeout.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -43,6 +44,8 @@
 	limit    time.Duration
 	eventGap time.Duration
 	timer    *time.Timer
+	// begun is set once the attempt has brought an event.
+	begun atomic.Bool
 
 	mu      sync.Mutex
 	stopped bool
@@ -74,6 +77,7 @@
 
 // reset starts the timeout for the next event.
 func (t *attemptTimeout) reset() {
+	t.begun.Store(true)
 	if t.timer != nil && t.eventGap > 0 {
 		t.limit = t.eventGap
 		t.timer.Reset(t.eventGap)
@@ -103,18 +107,27 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r := t.exchange.run
-	if t.stopped || time.Until(r.deadline) <= r.minAttemptTime() || !r.reserveRetry(t.exchange.pick) {
+	if t.stopped || time.Until(r.deadline) <= r.minAttemptTime() || !r.reserveRetry(t.exchange.pick, t.requiredVersion()) {
 		return
 	}
 	t.expired = true
 	t.exchange.conn.Close()
 }
 
+// requiredVersion returns the only version at which another attempt could go on, empty for
+// any.
+func (t *attemptTimeout) requiredVersion() string {
+	if t.begun.Load() || t.exchange.after != "" {
+		return t.exchange.pick.instance.Version
+	}
+	return ""
+}
+
 // reserveRetry takes the next retry from the budget if there is a healthy
-// instance for it.
-func (r *run) reserveRetry(p *pick) bool {
+// instance for it, of one version only unless that is empty.
+func (r *run) reserveRetry(p *pick, version string) bool {
 	b := r.dispatcher.options.Balancer
-	if !b.hasHealthyAlternative(r.service, append(r.excluded[:len(r.excluded):len(r.excluded)], p.instance.ID)) {
+	if !b.hasHealthyAlternative(r.service, version, append(r.excluded[:len(r.excluded):len(r.excluded)], p.instance.ID)) {
 		return false
 	}
 	if !b.takeRetry(r.service, retry.HighPriority) {
--- a/internal/edge/config_test.go
+++ b/internal/edge/config_test.go
@@ -46,6 +46,8 @@
 
 func (revisionProvider) CrashRecordKey() string { return "crashes/self" }
 
+func (revisionProvider) OriginsKey() string { return "streams" }
+
 func newTestControl(t *testing.T) *control {
 	t.Helper()
 	registry := metrics.NewRegistry()
--- a/internal/edge/control.go
+++ b/internal/edge/control.go
@@ -11,6 +11,7 @@
 	"github.com/verbenatrail/verbenatrail/internal/decisionlog"
 	"github.com/verbenatrail/verbenatrail/internal/kv"
 	"github.com/verbenatrail/verbenatrail/internal/mirror"
+	"github.com/verbenatrail/verbenatrail/internal/origins"
 	"github.com/verbenatrail/verbenatrail/internal/peering"
 	"github.com/verbenatrail/verbenatrail/internal/peerpb"
 )
@@ -55,7 +56,9 @@
 	start      startState
 	// crashRecord is this router's record of crashes in the store.
 	crashRecord crashRecordState
-	clock       suspensionClock
+	// served is the routers' record of the versions at which streams may have begun.
+	served servedState
+	clock  suspensionClock
 }
 
 func newControl(ctx context.Context, e *Edge) *control {
@@ -63,6 +66,7 @@
 		edge: e, ctx: ctx, mirror: mirror.New(e.options.Provider), seeds: e.options.Settings.Seeds,
 		members: peering.NewMemberList(e.options.Settings.Name, rand.Uint64()), news: containment.NewNews(),
 	}
+	c.served.versions = origins.NewVersions(e.options.Settings.FirstStart)
 	c.updateListedRouters()
 	// At the first start of the whole system, the instances' caches are empty.
 	c.inventory.complete = e.options.Settings.FirstStart
@@ -123,6 +127,7 @@
 	c.confirm(now)
 	c.scheduleInventory(now)
 	c.updateCrashRecord(now)
+	c.updateVersions(now)
 	c.edge.link.CloseIdle(time.Now())
 }
 
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -12,12 +12,14 @@
 	"github.com/rcrowley/go-metrics"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/verbenatrail/verbenatrail/internal/boottime"
 	"github.com/verbenatrail/verbenatrail/internal/containment"
 	"github.com/verbenatrail/verbenatrail/internal/decisionlog"
 	"github.com/verbenatrail/verbenatrail/internal/dispatch"
 	"github.com/verbenatrail/verbenatrail/internal/ingress"
 	"github.com/verbenatrail/verbenatrail/internal/kv"
 	"github.com/verbenatrail/verbenatrail/internal/memquota"
+	"github.com/verbenatrail/verbenatrail/internal/origins"
 	"github.com/verbenatrail/verbenatrail/internal/peering"
 	"github.com/verbenatrail/verbenatrail/internal/peerpb"
 	"github.com/verbenatrail/verbenatrail/internal/routing"
@@ -51,6 +53,9 @@
 	callers  *ingress.Server
 	link     *peering.Link
 	permits  *permits
+	origins  *origins.Tracker
+	// originWriter keeps this router's record of streams.
+	originWriter *originWriter
 
 	settings atomic.Pointer[Settings]
 
@@ -120,8 +125,10 @@
 	e.pool = upstream.NewPool(o.Registry)
 	share := settings.memory() / bufferShare
 	e.permits = newPermits(e)
+	e.origins = origins.NewTracker(originReader{e}, boottime.Now, o.Registry)
+	e.originWriter = newOriginWriter(e)
 	dispatcher := dispatch.New(dispatch.Options{
-		Balancer: e.balancer, Pool: e.pool, Permits: e.permits, Codec: o.Codec, Table: e.table.Load, Outage: e.outage.Load,
+		Balancer: e.balancer, Pool: e.pool, Permits: e.permits, Origins: e.origins, Codec: o.Codec, Table: e.table.Load, Outage: e.outage.Load,
 		StopAt:  e.stopTime,
 		Buffers: memquota.New(share), Log: o.Log, Registry: o.Registry,
 	})
@@ -217,6 +224,7 @@
 		return c.run()
 	})
 	group.Go(func() error { return e.register(ctx) })
+	group.Go(func() error { return e.originWriter.run(ctx) })
 	group.Go(func() error {
 		return e.link.Receive(ctx, e.postDatagram)
 	})
--- a/internal/edge/era.go
+++ b/internal/edge/era.go
@@ -31,6 +31,7 @@
 		"source": source, "registers_again_ms": delay.Milliseconds(),
 	})
 	c.edge.balancer.ListingRestarted()
+	c.edge.origins.Rewrite()
 	// The copy may lack this router's record of crashes.
 	c.crashRecord.struck = c.crashRecord.struck || c.crashRecord.stored != 0
 	c.crashRecord.stored = 0
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -77,6 +77,7 @@
 	c.edge.options.Log.Decision("store follower started", decisionlog.Fields{"others": others, "revision": kv.RawRevision(c.mirror.Revision())})
 	follower := &mirror.Follower{
 		Store:   c.edge.options.Store,
+		Skip:    c.edge.isStreamRecord,
 		Deliver: func(u mirror.Update) { c.edge.deliver(ctx, storeUpdate{update: u}) },
 		Pace:    c.edge.followerPace,
 		Now:     boottime.Now,
--- a/internal/edge/provider.go
+++ b/internal/edge/provider.go
@@ -26,6 +26,9 @@
 	Routers []string
 	// CrashRecords are the records that routers have written with CrashRecordKey.
 	CrashRecords []kv.Entry
+	// ServedVersions is the routers' record of the versions at which streams may have begun,
+	// nil if there is none.
+	ServedVersions *kv.Entry
 	// Problems describe the records that could not be decoded, each with its key.
 	Problems []string
 }
@@ -44,6 +47,10 @@
 	// CrashRecordKey returns the key of this router's record of the crashes for which
 	// calls are refused.
 	CrashRecordKey() string
+	// OriginsKey returns the key of the routers' record of the versions at which streams may
+	// have begun. It begins the keys of the routers' records of streams, OriginsKey, a slash
+	// and a name, which Translate ignores.
+	OriginsKey() string
 }
 
 // Codec translates requests and responses of callers and instances.
@@ -75,6 +82,9 @@
 	DrainPeriod time.Duration
 	// AddressLifetime is how long callers may cache a response of the directory.
 	AddressLifetime time.Duration
+	// StoreWritesPerS is the number of write calls in a second that the store allows all
+	// routers together; zero means defaultStoreWritesPerS.
+	StoreWritesPerS float64
 	// MemoryBytes is the memory that the process may use; zero means defaultMemory.
 	MemoryBytes int64
 	// RetryBudget bounds the retries that the whole fleet sends to one service.
--- a/internal/edge/records.go
+++ b/internal/edge/records.go
@@ -243,11 +243,13 @@
 func (c *control) publish(now time.Time) {
 	snapshot := c.edge.options.Provider.Translate(c.mirror.Entries(), time.Now())
 	c.logProblems(snapshot.Problems)
-	// Before the router has routes, so that its first call finds what is refused.
+	c.discovered = snapshot.Routers
+	// Before the router has routes, so that its first call finds what is refused, and at which
+	// versions streams may begin.
 	c.applyCrashRecords(snapshot.CrashRecords)
+	c.publishVersions(now, snapshot)
 	c.publishTable(now, snapshot.Table)
 	c.edge.balancer.SetInstances(snapshot.Instances)
-	c.discovered = snapshot.Routers
 	c.updateListedRouters()
 	c.scheduleInventory(now)
 }
--- a/internal/instances/instances.go
+++ b/internal/instances/instances.go
@@ -32,6 +32,8 @@
 	health   health
 	reported State
 	removed  bool
+	// drainingSince is when the instance was first listed as draining, zero if it isn't.
+	drainingSince time.Time
 	// faults is the decayed number of faults over all routers; outlier is set while
 	// it is far above that of the other instances of the service.
 	faults  float64
@@ -143,13 +145,19 @@
 		return nil
 	}
 	reason := "listing"
-	if !ok || !e.instance.StartedAt.Equal(i.StartedAt) || e.instance.Address != i.Address {
+	if !ok || !e.instance.StartedAt.Equal(i.StartedAt) || e.instance.Address != i.Address || e.instance.Version != i.Version {
 		e = &entry{reported: Gone}
 		r.entries[i.ID] = e
 		reason = ReasonStarted
 	}
 	wasMissing := e.missing
 	e.instance, e.missing, e.removed = i, false, false
+	switch {
+	case !i.Draining:
+		e.drainingSince = time.Time{}
+	case e.drainingSince.IsZero():
+		e.drainingSince = now
+	}
 	if changes := r.report(now, e, reason); len(changes) > 0 || !wasMissing {
 		return changes
 	}
@@ -245,15 +253,22 @@
 // no better one, and those that have just said that they leave only if there is no
 // other at all.
 func (r *Registry) Candidates(now time.Time, service string, excluded []string) []Candidate {
+	return r.CandidatesAt(now, service, "", excluded)
+}
+
+// CandidatesAt is Candidates for the instances of one version only, unless it is empty. The
+// last ones of a version may also be listed as draining: what they have begun can go on
+// nowhere else.
+func (r *Registry) CandidatesAt(now time.Time, service, version string, excluded []string) []Candidate {
 	var all, departing []Candidate
 	best := Gone
 	for _, e := range r.services[service] {
 		state := r.state(now, e)
-		if slices.Contains(excluded, e.instance.ID) {
+		if slices.Contains(excluded, e.instance.ID) || version != "" && e.instance.Version != version {
 			continue
 		}
 		if state >= Paused {
-			if r.lastResort(now, e) {
+			if r.lastResort(now, e) || version != "" && r.lastOfVersion(now, e) {
 				departing = append(departing, Candidate{Instance: e.instance, State: state})
 			}
 			continue
--- a/internal/instances/notices.go
+++ b/internal/instances/notices.go
@@ -152,6 +152,18 @@
 	return now.Sub(r.departures[e.instance.ID].at) < r.lastResortPeriod
 }
 
+// lastOfVersion reports whether an instance that is listed as draining may still go on with
+// streams of its version.
+func (r *Registry) lastOfVersion(now time.Time, e *entry) bool {
+	if e.removed || e.health.replaced || e.missing || e.drainingSince.IsZero() || now.Before(r.pausedUntil(e.instance)) {
+		return false
+	}
+	if r.departing(e.instance) && now.Sub(r.departures[e.instance.ID].at) >= r.lastResortPeriod {
+		return false
+	}
+	return now.Sub(e.drainingSince) < r.lastResortPeriod
+}
+
 // pausedUntil returns the end of the pause that this run of an instance has asked this
 // router for, the zero time if it asked for none.
 func (r *Registry) pausedUntil(i Instance) time.Time {
--- a/internal/instances/notices_test.go
+++ b/internal/instances/notices_test.go
@@ -55,6 +55,44 @@
 	}
 }
 
+// The last instances of a version drain: the streams that it has begun went on nowhere, or
+// at another version.
+func TestDrainingInstancesAreALastResortOfTheirVersion(t *testing.T) {
+	const period = 2 * time.Second
+	r := New()
+	r.SetLastResortPeriod(period)
+	list := listed("a", "b", "c")
+	list[0].Version, list[1].Version, list[2].Version = "v1", "v1", "v2"
+	r.Replace(start, list)
+	if got := ids(r.CandidatesAt(start, "s", "v1", nil)); got != "ab" {
+		t.Errorf("candidates of v1 %q", got)
+	}
+	list[0].Draining = true
+	r.Replace(at(time.Second), list)
+	if got := ids(r.CandidatesAt(at(time.Second), "s", "v1", nil)); got != "b" {
+		t.Errorf("candidates of v1 %q while one of two drains", got)
+	}
+	list[1].Draining = true
+	r.Replace(at(2*time.Second), list)
+	if got := ids(r.CandidatesAt(at(2*time.Second), "s", "v1", nil)); got != "ab" {
+		t.Errorf("candidates of v1 %q while both drain", got)
+	}
+	if got := ids(r.CandidatesAt(at(time.Second+period), "s", "v1", nil)); got != "b" {
+		t.Errorf("candidates of v1 %q after the period of the first", got)
+	}
+	if got := ids(r.Candidates(at(2*time.Second), "s", nil)); got != "c" {
+		t.Errorf("candidates of any version %q", got)
+	}
+	r.Leaving(at(2*time.Second), "b")
+	list[1].Draining = false
+	r.Replace(at(3*time.Second), list)
+	list[1].Draining = true
+	r.Replace(at(5*time.Second), list)
+	if got := ids(r.CandidatesAt(at(5*time.Second), "s", "v1", nil)); got != "" {
+		t.Errorf("candidates of v1 %q, which has said before that it leaves", got)
+	}
+}
+
 func TestPausedInstancesTakeNoWork(t *testing.T) {
 	const pause = 3 * time.Second
 	r := New()
--- a/internal/mirror/follower.go
+++ b/internal/mirror/follower.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -41,6 +42,8 @@
 	Store kv.Store
 	// Prefix selects the records by key; empty selects all.
 	Prefix string
+	// Skip reports whether the record with a key is left out; nil means that none is.
+	Skip func(key string) bool
 	// Deliver is called with each update, in order. It must not block for long.
 	Deliver func(Update)
 	// Pace returns the pause after a list, and before the next changes are taken from
@@ -116,6 +119,9 @@
 		return err
 	}
 	f.lastRevision = revision
+	if f.Skip != nil {
+		entries = slices.DeleteFunc(entries, func(e kv.Entry) bool { return f.Skip(e.Key) })
+	}
 	f.Deliver(Update{Full: true, Entries: entries, Revision: revision, AskedAt: askedAt})
 	return nil
 }
@@ -148,6 +154,9 @@
 				return healthy, batch.Err
 			}
 			healthy = true
+			if f.Skip != nil {
+				batch.Events = slices.DeleteFunc(batch.Events, func(e kv.Event) bool { return f.Skip(e.Entry.Key) })
+			}
 			f.lastRevision = max(f.lastRevision, batch.Revision)
 			f.Deliver(Update{Events: batch.Events, Revision: batch.Revision})
 			if err := f.pace(ctx, resync); err != nil {
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -77,9 +77,12 @@
 
 // Repeatable reports whether a call may run more than once.
 func (r *Route) Repeatable() bool {
-	return r.Kind == Idempotent || r.Kind == Streaming && r.Resumable
+	return r.Kind == Idempotent || r.ResumableStream()
 }
 
+// ResumableStream reports whether callers may take up a stream of the route that has broken.
+func (r *Route) ResumableStream() bool { return r.Kind == Streaming && r.Resumable }
+
 // Service selects the service of a call by a hash of its key, in proportion to the
 // weights. Calls with equal keys go to the same service.
 func (r *Route) Service(key string) string {
@@ -148,6 +151,24 @@
 	routes map[string]map[string]*Route
 }
 
+// ResumableServices returns the services of the routes whose streams may be resumed, and the
+// longest timeout of these routes.
+func (t *Table) ResumableServices() (services map[string]bool, longestTimeout time.Duration) {
+	services = make(map[string]bool)
+	for _, byPrefix := range t.routes {
+		for _, route := range byPrefix {
+			if !route.ResumableStream() {
+				continue
+			}
+			longestTimeout = max(longestTimeout, route.Timeout)
+			for _, target := range route.Targets {
+				services[target.Service] = true
+			}
+		}
+	}
+	return services, longestTimeout
+}
+
 // NewTable compiles the routes of a revision.
 func NewTable(o Options) *Table {
 	t := &Table{
