Tell the other routers of streams that can't be recorded

With several versions in service a router knew the version only from the store.

A write is given up after 0.5 s, not 1 s, so that a lost answer of the store holds up the next record for less.

--- a/internal/edge/originrecord.go
+++ b/internal/edge/originrecord.go
@@ -21,7 +21,7 @@
 const (
 	// originWriteTimeout bounds the write of a record, originRetry is the pause after one
 	// that failed.
-	originWriteTimeout = time.Second
+	originWriteTimeout = 500 * time.Millisecond
 	originRetry        = 250 * time.Millisecond
 	// originWriteTries is how often a record is written with the revision or the lease that
 	// the store turns out to have.
@@ -124,6 +124,7 @@
 			w.failed.Inc(1)
 			wait = originRetry
 			w.logFailure(err, record)
+			w.edge.post(streamsUnrecorded{record: record})
 			tracker.Rewrite()
 		} else {
 			w.logSuccess(record)
@@ -135,6 +136,13 @@
 	}
 }
 
+// streamsUnrecorded tells the other routers of the streams that could not be recorded.
+type streamsUnrecorded struct{ record *peerpb.StreamOrigins }
+
+func (s streamsUnrecorded) apply(c *control, _ time.Time) {
+	c.edge.link.SendStreams(c.members.Targets(), s.record)
+}
+
 // write puts the record into the store.
 func (w *originWriter) write(ctx context.Context, record *peerpb.StreamOrigins) error {
 	if len(record.GetStreams()) == 0 && w.revision == 0 && !w.revisionUnknown {
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -19,6 +19,10 @@
 		c.handleState(now, d.received)
 		return
 	}
+	if d.received.Streams != nil {
+		c.edge.origins.LearnFromPeer(d.received.Streams)
+		return
+	}
 	changes, isNew := c.members.RecordDigest(now, d.received.Router)
 	c.handleMemberChanges(changes)
 	c.members.RecordIndirect(now, d.received.Digest.GetHeard())
--- a/internal/origins/origins.go
+++ b/internal/origins/origins.go
@@ -34,6 +34,8 @@
 	Own Source = "own"
 	// Recorded: the record of another router, or of an earlier process of this one.
 	Recorded Source = "record"
+	// Peer: another router has said so, while it could not write its record.
+	Peer Source = "router"
 	// OnlyVersion: by the store, no other version has served lately.
 	OnlyVersion Source = "only version"
 	// OnlyVersionCopied: the same, by the copy of the store's records that most routers
--- a/internal/origins/origins_test.go
+++ b/internal/origins/origins_test.go
@@ -323,3 +323,26 @@
 		t.Errorf("merged: %v", merged)
 	}
 }
+
+// Another router tells of streams; what this one has begun itself counts more, and a stream
+// that is told of at two versions is of none.
+func TestStreamsThatAnotherRouterTellsOf(t *testing.T) {
+	tracker := newTestTracker(newTestClock(), &testReader{})
+	tracker.Begin(stream("own"), testService, "v1", testLifetime)
+	tell := func(version string, ids ...string) {
+		group := &peerpb.VersionStreams{Service: testService, Version: version}
+		for _, id := range ids {
+			group.Streams = append(group.Streams, uint64(stream(id)))
+		}
+		tracker.LearnFromPeer(&peerpb.StreamOrigins{Streams: []*peerpb.VersionStreams{group}})
+	}
+	tell("v2", "own", "other", "both")
+	tell("v1", "both")
+	for id, want := range map[string]Origin{
+		"own": {Version: "v1", Source: Own}, "other": {Version: "v2", Source: Peer}, "both": {Source: Differing}, "none": {Source: Unreachable},
+	} {
+		if got := tracker.Find(context.Background(), stream(id), testService); got.Version != want.Version || got.Source != want.Source {
+			t.Errorf("%s: version %q, %s; want %q, %s", id, got.Version, got.Source, want.Version, want.Source)
+		}
+	}
+}
--- a/internal/origins/tracker.go
+++ b/internal/origins/tracker.go
@@ -62,6 +62,9 @@
 	writeTime = 100 * time.Millisecond
 	// lifetimeMargin is how long a stream is known beyond the time that its caller waits.
 	lifetimeMargin = 2 * time.Second
+	// maxStreams bounds the streams that are known: more than hundreds of routers begin
+	// within the window. Those of other routers are left out beyond it.
+	maxStreams = 1 << 17
 )
 
 // streamEntry is what is known of one stream.
@@ -300,25 +303,37 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, record := range c.Streams {
-		for _, group := range record.GetStreams() {
-			for _, s := range group.GetStreams() {
-				t.learnStream(Stream(s), group, c.At)
-			}
+		t.learnRecord(record, Origin{Source: Recorded, At: c.At})
+	}
+}
+
+// LearnFromPeer adds the streams that another router has begun and could not record.
+func (t *Tracker) LearnFromPeer(record *peerpb.StreamOrigins) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.learnRecord(record, Origin{Source: Peer, At: t.now()})
+}
+
+// learnRecord adds the streams of a record, with the source and time of an origin. The caller
+// holds the lock.
+func (t *Tracker) learnRecord(record *peerpb.StreamOrigins, origin Origin) {
+	for _, group := range record.GetStreams() {
+		origin.Version = group.GetVersion()
+		for _, s := range group.GetStreams() {
+			t.learnStream(Stream(s), group.GetService(), origin)
 		}
 	}
 }
 
-// learnStream adds a stream of a record. One that is recorded at two versions is known at
-// none. The caller holds the lock.
-func (t *Tracker) learnStream(s Stream, group *peerpb.VersionStreams, at time.Time) {
+// learnStream adds a stream that another router has begun. One that is known at two versions
+// is of none. The caller holds the lock.
+func (t *Tracker) learnStream(s Stream, service string, origin Origin) {
 	e, known := t.streams[s]
 	switch {
-	case !known:
-		t.streams[s] = &streamEntry{
-			service: group.GetService(), origin: Origin{Version: group.GetVersion(), Source: Recorded, At: at}, expires: at.Add(t.state.Window),
-		}
-	case !e.own && e.origin.Version != group.GetVersion():
-		e.origin = Origin{Source: Differing, At: at}
+	case !known && len(t.streams) < maxStreams:
+		t.streams[s] = &streamEntry{service: service, origin: origin, expires: origin.At.Add(t.state.Window)}
+	case known && !e.own && e.origin.Version != origin.Version:
+		e.origin = Origin{Source: Differing, At: origin.At}
 	}
 }
 
--- a/internal/peering/fuzz_test.go
+++ b/internal/peering/fuzz_test.go
@@ -18,8 +18,8 @@
 		if ok && received.Router.Name == "" {
 			t.Error("a datagram without a sender is accepted")
 		}
-		if ok && received.Digest == nil && received.State == nil {
-			t.Error("a datagram with neither digest nor state is accepted")
+		if ok && received.Digest == nil && received.State == nil && received.Streams == nil {
+			t.Error("a datagram with neither digest, state nor streams is accepted")
 		}
 	})
 }
--- a/internal/peering/link.go
+++ b/internal/peering/link.go
@@ -40,7 +40,10 @@
 	// State is set instead of Digest if the datagram holds changes of the records.
 	// Of Router, only the name and incarnation are set then.
 	State *peerpb.StateResponse
-	News  News
+	// Streams is set instead of Digest if the datagram names streams that the router has
+	// begun. Of Router, only the name and incarnation are set then.
+	Streams *peerpb.StreamOrigins
+	News    News
 }
 
 // Link exchanges datagrams and copies of the records with other routers.
@@ -140,6 +143,26 @@
 	return true
 }
 
+// maxStreamsPerDatagram bounds the streams in one datagram.
+const maxStreamsPerDatagram = 96
+
+// SendStreams sends the streams that this router has begun to the given addresses, in as many
+// datagrams as they take. Delivery is not guaranteed; send failures, and versions whose names
+// don't fit into a datagram, are counted.
+func (l *Link) SendStreams(to []string, record *peerpb.StreamOrigins) {
+	for _, group := range record.GetStreams() {
+		for streams := range slices.Chunk(group.GetStreams(), maxStreamsPerDatagram) {
+			part := &peerpb.VersionStreams{Service: group.GetService(), Version: group.GetVersion(), Streams: streams}
+			d := &peerpb.Datagram{Body: &peerpb.Datagram_Streams{Streams: &peerpb.StreamOrigins{Streams: []*peerpb.VersionStreams{part}}}}
+			if proto.Size(d) > maxDatagramBytes-senderIDBytes {
+				l.failed.Inc(1)
+				continue
+			}
+			l.send(to, d)
+		}
+	}
+}
+
 func (l *Link) send(to []string, d *peerpb.Datagram) {
 	d.From, d.Incarnation = l.name, l.incarnation
 	data, err := proto.Marshal(d)
@@ -198,6 +221,9 @@
 		}
 		return Received{Router: Router{Name: d.GetFrom(), Incarnation: d.GetIncarnation()}, State: state, News: news}, true
 	}
+	if streams := d.GetStreams(); streams != nil {
+		return Received{Router: Router{Name: d.GetFrom(), Incarnation: d.GetIncarnation()}, Streams: streams, News: news}, true
+	}
 	if d.GetDigest() == nil {
 		return Received{}, false
 	}
