Go on with a stream only at the listed start of an instance

An engine that starts again under its ID and address may be of another version than its entry, which the router has from before. A stream of the earlier version went on there, and its caller got events of both.

A call that goes on with a stream opens a connection of its own and asks on it for the start of the instance, before it is sent. The rest comes from the process that has answered.

--- a/internal/dispatch/endcheck.go
+++ b/internal/dispatch/endcheck.go
@@ -8,6 +8,7 @@
 
 	"github.com/verbenatrail/verbenatrail/internal/call"
 	"github.com/verbenatrail/verbenatrail/internal/decisionlog"
+	"github.com/verbenatrail/verbenatrail/internal/instances"
 	"github.com/verbenatrail/verbenatrail/internal/upstream"
 )
 
@@ -46,10 +47,7 @@
 // askInstance returns in words what shows that the instance still runs, or an error.
 func (e *exchange) askInstance() (string, error) {
 	r, options := e.run, e.run.dispatcher.options
-	answer, err := options.Pool.Ask(r.ctx, e.pick.instance.Address, &upstream.Request{
-		Method: http.MethodGet, Host: r.call.Host, Header: http.Header{},
-		Target: options.Codec.StateTarget(options.Table().Service(r.service)),
-	}, min(upstream.EndCheckTimeout, time.Until(r.deadline)/2))
+	answer, err := options.Pool.Ask(r.ctx, e.pick.instance.Address, r.stateQuery(), r.queryTimeout())
 	switch {
 	case err != nil:
 		return "", err
@@ -57,26 +55,42 @@
 		return "the instance accepts connections", nil
 	}
 	identity := options.Codec.DecodeIdentity(answer.Response.StatusCode, answer.Response.Header, answer.Body)
-	if err := e.checkIdentity(identity); err != nil {
+	err = checkIdentity(e.pick.instance, identity)
+	if err == nil && identity.StartedAt.After(e.startedAt) {
+		err = errors.Errorf("the instance started at %s, after the call was sent", identity.StartedAt.UTC())
+	}
+	if err != nil {
 		return "", errors.Wrapf(err, "status %d", answer.Response.StatusCode)
 	}
 	options.Balancer.recordReply(e.pick, options.Codec.DecodeReply(answer.Response.StatusCode, answer.Response.Header))
 	return "the instance answers", nil
 }
 
-// checkIdentity returns an error unless the instance has answered, in the run that got the
-// call. What it doesn't tell isn't compared.
-func (e *exchange) checkIdentity(identity call.Identity) error {
-	asked, told := e.pick.instance, identity.StartedAt
+// stateQuery is the query of an instance for its state.
+func (r *run) stateQuery() *upstream.Request {
+	options := r.dispatcher.options
+	return &upstream.Request{
+		Method: http.MethodGet, Host: r.call.Host, Header: http.Header{},
+		Target: options.Codec.StateTarget(options.Table().Service(r.service)),
+	}
+}
+
+// queryTimeout bounds the wait for the answer.
+func (r *run) queryTimeout() time.Duration {
+	return min(upstream.EndCheckTimeout, time.Until(r.deadline)/2)
+}
+
+// checkIdentity returns an error unless the listed instance has answered, in the start that
+// is listed. What it doesn't tell isn't compared.
+func checkIdentity(listed instances.Instance, identity call.Identity) error {
+	told := identity.StartedAt
 	switch {
 	case !identity.IsInstance:
 		return errors.New("something else than an instance answers at the address")
-	case identity.Instance != "" && identity.Instance != asked.ID:
-		return errors.Errorf("instance %s answers at the address, expected %s", identity.Instance, asked.ID)
-	case !told.IsZero() && !asked.StartedAt.IsZero() && !told.Equal(asked.StartedAt):
-		return errors.Errorf("the instance started at %s, expected %s", told.UTC(), asked.StartedAt.UTC())
-	case !told.IsZero() && told.After(e.startedAt):
-		return errors.Errorf("the instance started at %s, after the call was sent", told.UTC())
+	case identity.Instance != "" && identity.Instance != listed.ID:
+		return errors.Errorf("instance %s answers at the address, expected %s", identity.Instance, listed.ID)
+	case !told.IsZero() && !listed.StartedAt.IsZero() && !told.Equal(listed.StartedAt):
+		return errors.Errorf("the instance started at %s, expected %s", told.UTC(), listed.StartedAt.UTC())
 	default:
 		return nil
 	}
--- a/internal/dispatch/origin.go
+++ b/internal/dispatch/origin.go
@@ -4,11 +4,14 @@
 	"context"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/verbenatrail/verbenatrail/internal/attempt"
 	"github.com/verbenatrail/verbenatrail/internal/decisionlog"
 	"github.com/verbenatrail/verbenatrail/internal/instances"
 	"github.com/verbenatrail/verbenatrail/internal/origins"
 	"github.com/verbenatrail/verbenatrail/internal/refusal"
+	"github.com/verbenatrail/verbenatrail/internal/upstream"
 )
 
 const (
@@ -138,6 +141,35 @@
 	return true
 }
 
+// errUnproved means that the process at an instance's address may be another one than the
+// listed start of the instance, and so of another version.
+var errUnproved = errors.New("the instance doesn't prove to be the listed one: the stream goes on at another")
+
+// connectToVersion opens a connection to an instance whose process is of the listed version: an
+// instance may start again as another version under its ID before its new entry is here. The
+// connection is to the process that has answered. Its errors are upstream.ErrUnreachable and
+// errUnproved.
+func (r *run) connectToVersion(ctx context.Context, p *pick) (*upstream.Conn, error) {
+	options := r.dispatcher.options
+	conn, err := options.Pool.Dial(ctx, p.instance.Address)
+	if err != nil {
+		return nil, err
+	}
+	answer, err := conn.Query(ctx, r.stateQuery(), r.queryTimeout())
+	if err == nil {
+		err = checkIdentity(p.instance, options.Codec.DecodeIdentity(answer.Response.StatusCode, answer.Response.Header, answer.Body))
+	}
+	if err != nil {
+		conn.Close()
+		return nil, errors.Wrap(errUnproved, err.Error())
+	}
+	if answer.Response.Close {
+		conn.Close()
+		return options.Pool.Dial(ctx, p.instance.Address)
+	}
+	return conn, nil
+}
+
 // recordOrigin records the beginning of a stream at its first event, and the instance that
 // goes on with one at the first event after the caller's position.
 func (e *exchange) recordOrigin() {
--- a/internal/dispatch/send.go
+++ b/internal/dispatch/send.go
@@ -61,8 +61,9 @@
 	conn, err := r.connect(ctx, p)
 	if err != nil {
 		result := instances.Unreachable
-		if !time.Now().Before(r.deadline) {
-			// The call ran out of time; that says nothing about the instance.
+		if !time.Now().Before(r.deadline) || errors.Is(err, errUnproved) {
+			// The call ran out of time, or the instance may have started again; that says
+			// nothing about its health.
 			result = instances.Late
 		} else {
 			options.Balancer.report(p, r.route, result, 0)
@@ -82,10 +83,13 @@
 }
 
 // connect gets a connection before the call's deadline. Its error is
-// upstream.ErrUnreachable.
+// upstream.ErrUnreachable or, for a call that goes on with a stream, errUnproved.
 func (r *run) connect(ctx context.Context, p *pick) (*upstream.Conn, error) {
 	ctx, cancel := context.WithDeadline(ctx, r.deadline)
 	defer cancel()
+	if r.requiredVersion() != "" {
+		return r.connectToVersion(ctx, p)
+	}
 	return r.dispatcher.options.Pool.Get(ctx, p.instance.Address)
 }
 
--- a/internal/upstream/ask.go
+++ b/internal/upstream/ask.go
@@ -78,6 +78,18 @@
 	return conn.readAnswer(query.Method)
 }
 
+// Query sends a query over the connection before its call, and returns the answer. Its errors
+// are ErrBroken and, for an answer that is too long, ErrTooLong. The connection can carry the
+// call afterwards unless Answer.Response.Close is set.
+func (c *Conn) Query(ctx context.Context, query *Request, limit time.Duration) (*Answer, error) {
+	defer c.CloseOnDone(ctx)()
+	c.SetReadDeadline(time.Now().Add(limit))
+	if err := c.Send(query); err != nil {
+		return nil, err
+	}
+	return c.readAnswer(query.Method)
+}
+
 func (c *Conn) readAnswer(method string) (*Answer, error) {
 	head, err := c.ReadHead(method)
 	if err != nil {
