Keep a later configuration over a restore that another router tells of

Cause, from the routers' logs: copies keep a later version of a record over a restore and mark it, so that a list of the store, which brings the earlier version again, doesn't replace it. A router that learned of the restore by a delta or a copy of another one got the later version without the mark.

Deltas and copies now say which records are kept.

--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"slices"
 	"strconv"
 	"time"
 
@@ -115,6 +116,9 @@
 	}
 	for _, e := range s.GetEntries() {
 		d.Entries = append(d.Entries, kv.Entry{Key: e.GetKey(), Value: e.GetValue(), ModRevision: kv.JoinRevision(e.GetEra(), e.GetRevision())})
+		if e.GetKept() {
+			d.Kept = append(d.Kept, e.GetKey())
+		}
 	}
 	return d
 }
@@ -130,6 +134,7 @@
 	for _, e := range d.Entries {
 		s.Entries = append(s.Entries, &peerpb.StateEntry{
 			Key: e.Key, Value: e.Value, Revision: kv.RawRevision(e.ModRevision), Era: kv.EraOf(e.ModRevision),
+			Kept: slices.Contains(d.Kept, e.Key),
 		})
 	}
 	return s
--- a/internal/mirror/delta.go
+++ b/internal/mirror/delta.go
@@ -17,9 +17,11 @@
 // Delta holds the changes that update a copy from one revision to another.
 type Delta struct {
 	// Full is set if Entries holds all records.
-	Full         bool
-	Entries      []kv.Entry
-	Removed      []string
+	Full    bool
+	Entries []kv.Entry
+	Removed []string
+	// Kept are the keys of entries whose value is a later version than the last write has.
+	Kept         []string
 	FromRevision int64
 	Revision     int64
 	// ChangedRevision is the latest revision at which a record may have changed.
@@ -36,7 +38,11 @@
 		return Delta{}, false
 	}
 	if have < m.historyFloor || m.inGap(have) {
-		return Delta{Full: true, Entries: m.peerEntries(), Revision: m.revision, ChangedRevision: m.changed}, true
+		d := Delta{Full: true, Revision: m.revision, ChangedRevision: m.changed}
+		for _, r := range m.records {
+			d.add(r)
+		}
+		return d, true
 	}
 	d := Delta{FromRevision: have, Revision: m.revision, ChangedRevision: m.changed, Complete: m.completeAfter(have)}
 	seen := make(map[string]bool)
@@ -46,7 +52,7 @@
 		}
 		seen[c.key] = true
 		if r, ok := m.records[c.key]; ok {
-			d.Entries = append(d.Entries, r.peerEntry())
+			d.add(r)
 			continue
 		}
 		d.Removed = append(d.Removed, c.key)
@@ -54,13 +60,12 @@
 	return d, true
 }
 
-// peerEntries returns all records as sent to other routers.
-func (m *Mirror) peerEntries() []kv.Entry {
-	entries := make([]kv.Entry, 0, len(m.records))
-	for _, r := range m.records {
-		entries = append(entries, r.peerEntry())
+// add adds a record.
+func (d *Delta) add(r record) {
+	d.Entries = append(d.Entries, r.peerEntry())
+	if r.kept {
+		d.Kept = append(d.Kept, r.entry.Key)
 	}
-	return entries
 }
 
 func (m *Mirror) inGap(revision int64) bool {
@@ -78,6 +83,7 @@
 	if d.Revision <= m.revision {
 		return false
 	}
+	defer m.keep(d)
 	if d.Full {
 		return m.replace(d.Entries, min(d.ChangedRevision, d.Revision), d.Revision)
 	}
@@ -95,3 +101,15 @@
 	m.Apply(events, d.Revision)
 	return true
 }
+
+// keep marks the records that have come from a delta as kept if they were there: their last
+// write has an earlier version, which a list of the store brings again.
+func (m *Mirror) keep(d Delta) {
+	for _, e := range d.Entries {
+		known, ok := m.records[e.Key]
+		if ok && slices.Contains(d.Kept, e.Key) && known.lastWrite == e.ModRevision && m.comparer.Same(known.entry, e) {
+			known.kept = true
+			m.records[e.Key] = known
+		}
+	}
+}
--- a/internal/mirror/versions_test.go
+++ b/internal/mirror/versions_test.go
@@ -42,6 +42,37 @@
 	}
 }
 
+// A router learns of a restore from another one, which has kept the later version of a record.
+// Then it lists the records itself: the store's earlier version must not replace the kept one.
+func TestVersionKeptByAnotherRouterOutlastsAList(t *testing.T) {
+	at := func(version byte, era, revision int64) kv.Entry {
+		return kv.Entry{Key: "k", Value: []byte{version}, ModRevision: kv.JoinRevision(era, revision)}
+	}
+	for _, whole := range []bool{false, true} {
+		lister, learner := New(testRecords{}), New(testRecords{})
+		for _, m := range []*Mirror{lister, learner} {
+			m.Replace([]kv.Entry{at('B', 1, 8)}, kv.JoinRevision(1, 8))
+		}
+		restored := []kv.Entry{at('A', 2, 4)}
+		lister.Replace(restored, kv.JoinRevision(2, 7))
+		have := learner.Revision()
+		if whole {
+			have = 0
+		}
+		if d, ok := lister.Since(have); !ok || d.Full != whole || !learner.Merge(d) {
+			t.Fatalf("whole copy %t: no update over the restore", whole)
+		}
+		learner.Replace(restored, kv.JoinRevision(2, 9))
+		if got := meaningsOf(learner)["k"]; got != 'B' {
+			t.Errorf("whole copy %t: version %c after a list, want B", whole, got)
+		}
+		learner.Apply([]kv.Event{{Entry: at('C', 2, 10)}}, kv.JoinRevision(2, 10))
+		if got := meaningsOf(learner)["k"]; got != 'C' {
+			t.Errorf("whole copy %t: version %c after the next write, want C", whole, got)
+		}
+	}
+}
+
 // As above, with restores, writes, lists, deltas and announced revisions in any order. A
 // router whose version is earlier than another one's asks that one for its records, as
 // digests make it do.
