--- a/internal/edge/origins.go
+++ b/internal/edge/origins.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"maps"
 	"slices"
 	"time"
 
@@ -11,6 +10,7 @@
 
 	"github.com/verbenatrail/verbenatrail/internal/boottime"
 	"github.com/verbenatrail/verbenatrail/internal/decisionlog"
+	"github.com/verbenatrail/verbenatrail/internal/instances"
 	"github.com/verbenatrail/verbenatrail/internal/kv"
 	"github.com/verbenatrail/verbenatrail/internal/origins"
 	"github.com/verbenatrail/verbenatrail/internal/peerpb"
@@ -55,26 +55,23 @@
 	if s.Table == nil {
 		return
 	}
-	services, longest := s.Table.ResumableServices()
-	byService := make(map[string]map[string]bool)
-	for _, i := range s.Instances {
-		if services[i.Service] {
-			if byService[i.Service] == nil {
-				byService[i.Service] = make(map[string]bool)
-			}
-			byService[i.Service][i.Version] = true
-		}
-	}
-	listed := make(origins.ServiceVersions, len(byService))
-	for service, versions := range byService {
-		listed[service] = slices.Sorted(maps.Keys(versions))
-	}
-	v := &c.served
-	v.listed, v.window = listed, origins.Window(longest)
+	services, longestTimeout := s.Table.ResumableServices()
+	c.served.listed, c.served.window = listedVersions(s.Instances, services), origins.Window(longestTimeout)
 	c.copyServed(s.ServedVersions)
 	c.updateVersions(now)
 }
 
+// listedVersions returns the versions of the instances of some services.
+func listedVersions(listed []instances.Instance, services map[string]bool) origins.ServiceVersions {
+	versions := make(origins.ServiceVersions)
+	for _, i := range listed {
+		if services[i.Service] && !slices.Contains(versions[i.Service], i.Version) {
+			versions[i.Service] = append(versions[i.Service], i.Version)
+		}
+	}
+	return versions
+}
+
 // copyServed applies the record of versions in the copy of the store's records.
 func (c *control) copyServed(entry *kv.Entry) {
 	v := &c.served
@@ -111,8 +108,8 @@
 		}
 	}
 	c.edge.origins.SetState(origins.State{
-		Served: v.versions.Served(), Usable: v.versions.Usable(now), Complete: v.versions.Complete(), Several: several, Current: c.isCurrent(), At: boottime.Now(),
-		Window: v.window, RecordInterval: c.edge.originInterval(c.members.RouterCount()),
+		Served: v.versions.Served(), Usable: v.versions.Usable(now), Complete: v.versions.Complete(), Several: several,
+		Current: c.isCurrent(), At: boottime.Now(), Window: v.window, RecordInterval: c.edge.originInterval(c.members.RouterCount()),
 	})
 }
 
--- a/internal/origins/versions.go
+++ b/internal/origins/versions.go
@@ -77,40 +77,48 @@
 // record in the store, nil if there is none, at an era of the store.
 func (v *Versions) Update(now time.Time, era int64, record *peerpb.ServedVersions, listed ServiceVersions, window time.Duration) {
 	first := v.startedAt.IsZero()
-	if first {
-		v.startedAt = now
+	v.updateEra(now, era, first)
+	v.updateRecord(now, record, first)
+	for service, versions := range listed {
+		for _, version := range versions {
+			set(v.lastSeen, service, version, now)
+		}
 	}
-	if first || era != v.era {
+	if complete(record, era) || v.firstStart && first && record == nil || now.Sub(v.startedAt) >= window {
+		v.complete = true
+	}
+	v.forget(now, window)
+}
+
+// updateEra sets the era of the store. At the first update, other routers have been running
+// through a restore, if there was one.
+func (v *Versions) updateEra(now time.Time, era int64, first bool) {
+	switch {
+	case first:
+		v.startedAt, v.era, v.eraSince = now, era, now.Add(-restoreSettleTime)
+	case era != v.era:
 		v.era, v.eraSince = era, now
-		if first {
-			// Other routers have been running through a restore, if there was one.
-			v.eraSince = now.Add(-restoreSettleTime)
-		}
 	}
+}
+
+// updateRecord sets the record in the store. At the first update, the other routers have read
+// it, too.
+func (v *Versions) updateRecord(now time.Time, record *peerpb.ServedVersions, first bool) {
 	v.stored = record
+	readAt := now
+	if first {
+		readAt = now.Add(-spreadTime)
+	}
 	for _, s := range record.GetServices() {
 		for _, version := range s.GetVersions() {
 			if v.lastSeen[s.GetService()][version].IsZero() {
 				set(v.lastSeen, s.GetService(), version, now)
 			}
-			switch {
-			case first:
-				// The other routers have read it, too.
-				set(v.readAt, s.GetService(), version, now.Add(-spreadTime))
-			case v.readAt[s.GetService()][version].IsZero():
-				set(v.readAt, s.GetService(), version, now)
+			if v.readAt[s.GetService()][version].IsZero() {
+				set(v.readAt, s.GetService(), version, readAt)
 			}
 		}
 	}
-	for service, versions := range listed {
-		for _, version := range versions {
-			set(v.lastSeen, service, version, now)
-		}
-	}
-	if complete(record, era) || v.firstStart && first && record == nil || now.Sub(v.startedAt) >= window {
-		v.complete = true
-	}
-	v.forget(now, window)
 }
 
 // set sets the time of a version.
