--- a/internal/edge/originrecord.go
+++ b/internal/edge/originrecord.go
@@ -136,11 +136,16 @@
 	}
 }
 
-// streamsUnrecorded tells the other routers of the streams that could not be recorded.
+// streamsUnrecorded tells the other routers of the streams that could not be recorded: all of
+// them, or some by turns in a large fleet.
 type streamsUnrecorded struct{ record *peerpb.StreamOrigins }
 
 func (s streamsUnrecorded) apply(c *control, _ time.Time) {
-	c.edge.link.SendStreams(c.members.Targets(), s.record)
+	to := c.members.PeerAddresses()
+	if len(to) >= smallFleetSize {
+		to = c.members.Targets()
+	}
+	c.edge.link.SendStreams(to, s.record)
 }
 
 // write puts the record into the store.
--- a/internal/edge/origins.go
+++ b/internal/edge/origins.go
@@ -26,9 +26,9 @@
 	servedStandIn = 400 * time.Millisecond
 	// minOriginInterval is the least time between two writes of a router's record of streams.
 	minOriginInterval = 100 * time.Millisecond
-	// originWriteShare is the part of the store's writes, a quarter, that the routers' records
-	// of streams may take together.
-	originWriteShare = 4
+	// originWriteShare is the part of the store's writes, a twelfth, that the routers' records
+	// of streams may take together. Each is billed.
+	originWriteShare = 12
 	// defaultStoreWritesPerS is what a store allows whose settings don't tell.
 	defaultStoreWritesPerS = 400
 )
